--- /dev/null
+++ b/packages/configuration/configuration.cpp
@@ -0,0 +1,95 @@
+#include "configuration/configuration.h"
+
+#include <algorithm>
+
+namespace fireflydrift::configuration {
+
+using workspace::Workspace;
+
+Configuration Configuration::restore(ConfigurationFields Fields) {
+  Configuration Restored;
+  for (const workspace::WorkspaceSpec &Spec : Fields.m_Workspaces)
+    if (auto Created = Workspace::create(Spec))
+      Restored.m_Workspaces.emplace(Spec.m_Id, *std::move(Created));
+  Restored.m_Fields = std::move(Fields);
+  return Restored;
+}
+
+const Workspace *Configuration::find(const core::WorkspaceId &Id) const {
+  auto Found = m_Workspaces.find(Id);
+  return Found == m_Workspaces.end() ? nullptr : &Found->second;
+}
+
+std::optional<std::uint64_t>
+Configuration::acceptedAs(const core::OperationId &Operation) const {
+  for (const auto &[Version, Accepted] : m_Fields.m_Accepted)
+    if (Accepted == Operation)
+      return Version;
+  return std::nullopt;
+}
+
+static core::Reason invalid(const char *Field, const char *Rule) {
+  return {.m_Code = core::ReasonCode::InvalidInput,
+          .m_Field = Field,
+          .m_Rule = Rule};
+}
+
+static core::Reason checkLimits(const Limits &Value) {
+  if (Value.m_QueuedPerWorkspace == 0)
+    return invalid("limits.queued_per_workspace", "must be positive");
+  if (Value.m_ShortReserve < 0)
+    return invalid("limits.short_reserve", "must not be negative");
+  if (Value.m_ShortRunTime <= core::Duration::zero())
+    return invalid("limits.short_run_time_ms", "must be positive");
+  if (Value.m_Retention <= core::Duration::zero())
+    return invalid("limits.retention_ms", "must be positive");
+  return {};
+}
+
+static core::Reason checkWorkspaces(const Proposal &Value) {
+  if (Value.m_Workspaces.size() > MaxWorkspaces)
+    return invalid("workspaces", "at most 256");
+  std::map<core::WorkspaceId, bool> Seen;
+  for (const workspace::WorkspaceSpec &Spec : Value.m_Workspaces) {
+    auto Created = Workspace::create(Spec);
+    if (!Created) {
+      core::Reason Why = Created.reason();
+      Why.m_Field = "workspaces." + Spec.m_Id.text() + "." + Why.m_Field;
+      return Why;
+    }
+    if (!Seen.emplace(Spec.m_Id, true).second)
+      return invalid("workspaces", "a workspace stands twice");
+  }
+  return {};
+}
+
+core::Outcome<Configuration> next(const Configuration &Current,
+                                  const Proposal &Value) {
+  if (!core::isValidId(Value.m_Operation.text()))
+    return invalid("operation", "must be a valid identifier");
+  if (Current.acceptedAs(Value.m_Operation))
+    return Current;
+  if (Value.m_Replaces != Current.version())
+    return core::Reason{.m_Code = core::ReasonCode::Conflict,
+                        .m_Field = "replaces",
+                        .m_Rule = "version " +
+                                  std::to_string(Current.version()) +
+                                  " is in force, set by operation '" +
+                                  Current.fields().m_Operation.text() + "'"};
+  for (const core::Reason &Why :
+       {checkLimits(Value.m_Limits), checkWorkspaces(Value)})
+    if (Why.m_Code != core::ReasonCode::None)
+      return Why;
+
+  ConfigurationFields Next = Current.fields();
+  ++Next.m_Version;
+  Next.m_Operation = Value.m_Operation;
+  Next.m_Workspaces = Value.m_Workspaces;
+  Next.m_Limits = Value.m_Limits;
+  Next.m_Accepted.emplace(Next.m_Version, Value.m_Operation);
+  if (Next.m_Accepted.size() > RememberedOperations)
+    Next.m_Accepted.erase(Next.m_Accepted.begin());
+  return Configuration::restore(std::move(Next));
+}
+
+} // namespace fireflydrift::configuration
--- /dev/null
+++ b/packages/control/operation.cpp
@@ -0,0 +1,254 @@
+#include "control/operation.h"
+
+#include <algorithm>
+
+namespace fireflydrift::control {
+
+// ---- Views -----------------------------------------------------------------
+
+JobView viewOf(const job::Job &Value) {
+  const job::JobFields &Fields = Value.fields();
+  JobView View{.m_Job = Value.key(),
+               .m_Phase = Value.phase(),
+               .m_Reason = Fields.m_Reason,
+               .m_Attempt = Fields.m_Attempt,
+               .m_MayHaveRun = Fields.m_MayHaveRun,
+               .m_Targets = placement::targetsOf(Value)};
+  // Part of an answer is no answer.
+  if (Value.phase() == job::Phase::Answered)
+    for (const job::Member &Each : Fields.m_Members)
+      View.m_Answers.push_back(Each.m_Answer);
+  return View;
+}
+
+static void countTargets(const State &Current, core::Time Now,
+                         StatusView &Into) {
+  for (const auto &[Id, Value] : Current.m_Tables.m_Targets) {
+    if (Value.presence() == target::Presence::Lost)
+      ++Into.m_LostTargets;
+    else if (Value.isQuarantined(Now))
+      ++Into.m_QuarantinedTargets;
+    else if (Value.presence() == target::Presence::Active)
+      ++Into.m_ActiveTargets;
+  }
+}
+
+StatusView statusOf(const State &Current, const placement::Witnesses &Witnesses,
+                    core::Time Now) {
+  StatusView View;
+  View.m_ConfigurationVersion = Current.m_Tables.m_Configuration.version();
+  for (const auto &[Key, Value] : Current.m_Tables.m_Jobs)
+    ++View.m_JobsByOutcome[job::outcomeName(Value.phase())];
+  countTargets(Current, Now, View);
+  View.m_FreeAccelerators = Current.m_Indexes.m_Fleet.freeAccelerators();
+  auto Name = [](const placement::GuaranteeKey &Key) {
+    return Key.m_Workspace.text() + "/" + Key.m_Name;
+  };
+  for (const auto &[Key, Value] : Witnesses.m_Found)
+    View.m_Guarantees.emplace(Name(Key), true);
+  for (const placement::GuaranteeKey &Key : Witnesses.m_Missing)
+    View.m_Guarantees.emplace(Name(Key), false);
+  return View;
+}
+
+// ---- Deciding --------------------------------------------------------------
+
+static Handling replyNow(Reply Value) { return {.m_Reply = std::move(Value)}; }
+
+static Handling fail(core::ReasonCode Code, std::string Field,
+                     std::string Rule) {
+  return replyNow(Failure{.m_Why = {Code, std::move(Field), std::move(Rule)}});
+}
+
+static Handling propose(Command Value) {
+  return {.m_Commands = {std::move(Value)}};
+}
+
+static Handling noSuchJob() {
+  return fail(core::ReasonCode::NotFound, "id",
+              "no such job, or its outcome has expired");
+}
+
+namespace {
+
+struct Context {
+  const State &m_State;
+  const placement::Witnesses &m_Witnesses;
+  core::Time m_Now;
+};
+
+} // namespace
+
+static Handling handleOne(const Context &C, const Submit &Value) {
+  core::Reason Why = job::check(Value.m_Spec);
+  if (Why.m_Code != core::ReasonCode::None)
+    return replyNow(Failure{.m_Why = std::move(Why)});
+  const core::JobKey &Key = Value.m_Spec.m_Key;
+  if (const job::Job *Known = findJob(C.m_State, Key)) {
+    if (Known->spec() == Value.m_Spec)
+      return replyNow(viewOf(*Known));
+    return fail(core::ReasonCode::Conflict, "id",
+                "is taken by a request with other content");
+  }
+  const Tables &Stored = C.m_State.m_Tables;
+  if (!Stored.m_Configuration.find(Key.m_Workspace))
+    return fail(core::ReasonCode::NotFound, "workspace", "is not configured");
+  const auto &Queued = C.m_State.m_Indexes.m_QueuedByWorkspace;
+  auto Count = Queued.find(Key.m_Workspace);
+  if (Count != Queued.end() &&
+      Count->second >= Stored.m_Configuration.limits().m_QueuedPerWorkspace)
+    return fail(core::ReasonCode::Overloaded, "workspace",
+                "its queue is full; the request was not accepted");
+  return propose(AcceptJob{.m_Spec = Value.m_Spec});
+}
+
+static Handling handleOne(const Context &C, const Fetch &Value) {
+  const job::Job *Found = findJob(C.m_State, Value.m_Job);
+  return Found ? replyNow(viewOf(*Found)) : noSuchJob();
+}
+
+static Handling handleOne(const Context &C, const Cancel &Value) {
+  const job::Job *Found = findJob(C.m_State, Value.m_Job);
+  if (!Found)
+    return noSuchJob();
+  if (Found->isFinished())
+    return replyNow(viewOf(*Found));
+  return propose(CancelJob{.m_Job = Value.m_Job});
+}
+
+static Handling handleOne(const Context &C, const Explain &Value) {
+  if (!findJob(C.m_State, Value.m_Job))
+    return noSuchJob();
+  auto Found = C.m_State.m_Tables.m_Decisions.find(Value.m_Job);
+  DecisionsView View;
+  if (Found != C.m_State.m_Tables.m_Decisions.end())
+    View.m_Decisions = Found->second;
+  return replyNow(std::move(View));
+}
+
+static ConfigurationView
+configurationView(const configuration::Configuration &Value,
+                  const core::OperationId &Operation) {
+  return {.m_Fields = Value.fields(),
+          .m_AcceptedAs = Value.acceptedAs(Operation).value_or(0)};
+}
+
+// The shapes that could not be assembled together even on an idle fleet.
+static std::string clashingShapes(const State &Current,
+                                  const configuration::Configuration &Next,
+                                  core::Time Now) {
+  placement::Fleet Idle;
+  for (const auto &[Id, Value] : Current.m_Tables.m_Targets)
+    Idle = std::move(Idle).withTarget(Value);
+  std::string Shapes;
+  for (const placement::GuaranteeKey &Key :
+       placement::assign(Idle, Next, {}, Now).m_Missing)
+    Shapes += (Shapes.empty() ? "" : ", ") + Key.m_Workspace.text() + "/" +
+              Key.m_Name;
+  return Shapes;
+}
+
+static Handling handleOne(const Context &C, const Configure &Value) {
+  const Tables &Stored = C.m_State.m_Tables;
+  auto Next = configuration::next(Stored.m_Configuration, Value.m_Proposal);
+  if (!Next)
+    return replyNow(Failure{.m_Why = Next.reason()});
+  if (Next->version() == Stored.m_Configuration.version())
+    return replyNow(configurationView(Stored.m_Configuration,
+                                      Value.m_Proposal.m_Operation));
+  // Without targets nothing is known to clash yet.
+  if (!Stored.m_Targets.empty()) {
+    std::string Clash = clashingShapes(C.m_State, *Next, C.m_Now);
+    if (!Clash.empty())
+      return fail(core::ReasonCode::Unplaceable, "guarantees",
+                  "can't be held together: " + Clash);
+  }
+  return propose(ChangeConfiguration{.m_Proposal = Value.m_Proposal});
+}
+
+static Handling handleOne(const Context &C, const ReadConfiguration &) {
+  return replyNow(configurationView(C.m_State.m_Tables.m_Configuration, {}));
+}
+
+static Handling handleOne(const Context &C, const ReadStatus &) {
+  return replyNow(statusOf(C.m_State, C.m_Witnesses, C.m_Now));
+}
+
+static Handling handleOne(const Context &C, const Announce &Value) {
+  auto Created = target::Target::create(Value.m_Announcement);
+  if (!Created)
+    return replyNow(Failure{.m_Why = Created.reason()});
+  auto Known = C.m_State.m_Tables.m_Targets.find(Created->id());
+  bool Unchanged = Known != C.m_State.m_Tables.m_Targets.end() &&
+                   Known->second.announcement() == Value.m_Announcement &&
+                   Known->second.presence() == target::Presence::Active;
+  if (Unchanged)
+    return replyNow(Acknowledged{});
+  return propose(AnnounceTarget{.m_Announcement = Value.m_Announcement});
+}
+
+// True when the result would still change its job.
+static bool isNews(const State &Current, const TaskResult &Value) {
+  const job::Job *Found = findJob(Current, Value.m_Job);
+  if (!Found || !Found->holdsCapacity() ||
+      Found->fields().m_Attempt != Value.m_Attempt)
+    return false;
+  const auto &Members = Found->fields().m_Members;
+  return Value.m_Task < Members.size() && !Members[Value.m_Task].m_Done;
+}
+
+static Handling handleOne(const Context &C, const ReportResults &Value) {
+  Handling Out;
+  for (const TaskResult &Each : Value.m_Results)
+    if (isNews(C.m_State, Each))
+      Out.m_Commands.push_back(FinishTask{.m_Job = Each.m_Job,
+                                          .m_Attempt = Each.m_Attempt,
+                                          .m_Task = Each.m_Task,
+                                          .m_Succeeded = Each.m_Succeeded,
+                                          .m_Answer = Each.m_Answer});
+  if (Out.m_Commands.empty())
+    Out.m_Reply = Acknowledged{};
+  return Out;
+}
+
+static Handling handleOne(const Context &C, const Leave &Value) {
+  if (!C.m_State.m_Tables.m_Targets.contains(Value.m_Target))
+    return fail(core::ReasonCode::NotFound, "target",
+                "has not announced itself");
+  return propose(LeaveTarget{.m_Target = Value.m_Target});
+}
+
+Handling handle(const State &Current, const Operation &Value,
+                const placement::Witnesses &Witnesses, core::Time Now) {
+  Context C{.m_State = Current, .m_Witnesses = Witnesses, .m_Now = Now};
+  return std::visit([&](const auto &Typed) { return handleOne(C, Typed); },
+                    Value);
+}
+
+// ---- Replying --------------------------------------------------------------
+
+static Reply viewOrFailure(const State &Current, const core::JobKey &Key) {
+  if (const job::Job *Found = findJob(Current, Key))
+    return viewOf(*Found);
+  return *noSuchJob().m_Reply;
+}
+
+Reply answer(const State &Current, const Operation &Value,
+             const core::Reason &Result) {
+  bool Refused = Result.m_Code != core::ReasonCode::None;
+  // A result that came too late is acknowledged so that it is not resent.
+  if (std::holds_alternative<ReportResults>(Value))
+    return Acknowledged{};
+  if (Refused)
+    return Failure{.m_Why = Result};
+  if (const auto *Typed = std::get_if<Submit>(&Value))
+    return viewOrFailure(Current, Typed->m_Spec.m_Key);
+  if (const auto *Typed = std::get_if<Cancel>(&Value))
+    return viewOrFailure(Current, Typed->m_Job);
+  if (const auto *Typed = std::get_if<Configure>(&Value))
+    return configurationView(Current.m_Tables.m_Configuration,
+                             Typed->m_Proposal.m_Operation);
+  return Acknowledged{};
+}
+
+} // namespace fireflydrift::control
--- /dev/null
+++ b/packages/control/operation.h
@@ -0,0 +1,164 @@
+// Operations: what callers, targets and operators ask of the system, and the
+// replies. Front ends translate their protocols to and from these types.
+#ifndef FIREFLYDRIFT_CONTROL_OPERATION_H
+#define FIREFLYDRIFT_CONTROL_OPERATION_H
+
+#include "control/state.h"
+#include "placement/witness.h"
+
+namespace fireflydrift::control {
+
+// ---- Operations ------------------------------------------------------------
+
+struct Submit {
+  job::JobSpec m_Spec;
+  friend bool operator==(const Submit &, const Submit &) = default;
+};
+struct Fetch {
+  core::JobKey m_Job;
+  // How long to wait for the job's outcome.
+  core::Duration m_Wait{0};
+  friend bool operator==(const Fetch &, const Fetch &) = default;
+};
+struct Cancel {
+  core::JobKey m_Job;
+  friend bool operator==(const Cancel &, const Cancel &) = default;
+};
+struct Explain {
+  core::JobKey m_Job;
+  friend bool operator==(const Explain &, const Explain &) = default;
+};
+struct Configure {
+  configuration::Proposal m_Proposal;
+  friend bool operator==(const Configure &, const Configure &) = default;
+};
+struct ReadConfiguration {
+  friend bool operator==(const ReadConfiguration &,
+                         const ReadConfiguration &) = default;
+};
+struct ReadStatus {
+  friend bool operator==(const ReadStatus &, const ReadStatus &) = default;
+};
+struct Announce {
+  target::Announcement m_Announcement;
+  friend bool operator==(const Announce &, const Announce &) = default;
+};
+// The outcome of one task, as its target reports it.
+struct TaskResult {
+  core::JobKey m_Job;
+  std::uint32_t m_Attempt = 0;
+  std::uint32_t m_Task = 0;
+  bool m_Succeeded = true;
+  std::string m_Answer;
+  friend bool operator==(const TaskResult &, const TaskResult &) = default;
+};
+struct ReportResults {
+  core::TargetId m_Target;
+  std::vector<TaskResult> m_Results;
+  friend bool operator==(const ReportResults &,
+                         const ReportResults &) = default;
+};
+struct Leave {
+  core::TargetId m_Target;
+  friend bool operator==(const Leave &, const Leave &) = default;
+};
+
+using Operation =
+    std::variant<Submit, Fetch, Cancel, Explain, Configure, ReadConfiguration,
+                 ReadStatus, Announce, ReportResults, Leave>;
+
+// ---- Replies ---------------------------------------------------------------
+
+// A job as its caller sees it.
+struct JobView {
+  core::JobKey m_Job;
+  job::Phase m_Phase = job::Phase::Queued;
+  core::Reason m_Reason;
+  std::uint32_t m_Attempt = 0;
+  bool m_MayHaveRun = false;
+  std::vector<core::TargetId> m_Targets;
+  // One answer a task; complete only when the outcome is "answered".
+  std::vector<std::string> m_Answers;
+  friend bool operator==(const JobView &, const JobView &) = default;
+};
+struct DecisionsView {
+  std::vector<placement::Decision> m_Decisions;
+  friend bool operator==(const DecisionsView &,
+                         const DecisionsView &) = default;
+};
+struct ConfigurationView {
+  configuration::ConfigurationFields m_Fields;
+  // The version that the asking operation created; zero when it only read.
+  std::uint64_t m_AcceptedAs = 0;
+  friend bool operator==(const ConfigurationView &,
+                         const ConfigurationView &) = default;
+};
+// One VM of the system, as the leader sees it.
+struct VmStatus {
+  core::VmId m_Vm;
+  std::string m_Liveness;
+  std::string m_Role;
+  std::uint64_t m_ConfigurationVersion = 0;
+  // Entries that the VM's replica lacks; zero for a VM without one.
+  std::uint64_t m_EntriesBehind = 0;
+  // Why the VM's configuration is not the newest; empty when it is.
+  std::string m_Behind;
+  friend bool operator==(const VmStatus &, const VmStatus &) = default;
+};
+struct StatusView {
+  core::VmId m_Leader;
+  std::uint64_t m_Term = 0;
+  std::uint64_t m_Commit = 0;
+  std::uint64_t m_ConfigurationVersion = 0;
+  std::map<std::string, std::uint64_t> m_JobsByOutcome;
+  std::uint64_t m_ActiveTargets = 0;
+  std::uint64_t m_QuarantinedTargets = 0;
+  std::uint64_t m_LostTargets = 0;
+  std::int64_t m_FreeAccelerators = 0;
+  // Guaranteed shapes, and whether each could be assembled now.
+  std::map<std::string, bool> m_Guarantees;
+  std::vector<VmStatus> m_Vms;
+  friend bool operator==(const StatusView &, const StatusView &) = default;
+};
+struct Acknowledged {
+  friend bool operator==(const Acknowledged &, const Acknowledged &) = default;
+};
+struct Failure {
+  core::Reason m_Why;
+  friend bool operator==(const Failure &, const Failure &) = default;
+};
+
+using Reply = std::variant<Acknowledged, JobView, DecisionsView,
+                           ConfigurationView, StatusView, Failure>;
+
+// ---- Deciding about operations ---------------------------------------------
+
+// What an operation needs: a reply at once, or commands that must be durable
+// before answer() gives the reply.
+struct Handling {
+  std::optional<Reply> m_Reply;
+  std::vector<Command> m_Commands;
+
+  friend bool operator==(const Handling &, const Handling &) = default;
+};
+
+// Decides about an operation at the leader.
+[[nodiscard]] Handling handle(const State &Current, const Operation &Value,
+                              const placement::Witnesses &Witnesses,
+                              core::Time Now);
+
+// The reply once the operation's first command was applied with this result.
+[[nodiscard]] Reply answer(const State &Current, const Operation &Value,
+                           const core::Reason &Result);
+
+// The job as its caller sees it now.
+[[nodiscard]] JobView viewOf(const job::Job &Value);
+
+// The part of the status that the state alone gives.
+[[nodiscard]] StatusView statusOf(const State &Current,
+                                  const placement::Witnesses &Witnesses,
+                                  core::Time Now);
+
+} // namespace fireflydrift::control
+
+#endif // FIREFLYDRIFT_CONTROL_OPERATION_H
--- /dev/null
+++ b/packages/control/state.cpp
@@ -0,0 +1,314 @@
+#include "control/state.h"
+
+#include <algorithm>
+
+namespace fireflydrift::control {
+
+// Finished jobs that are kept at most, whatever their retention.
+static constexpr std::size_t MaxFinishedJobs = 20000;
+
+namespace impl {
+
+// The working state while a batch is applied.
+struct Work {
+  Applied m_Out;
+
+  Tables &tables() { return m_Out.m_State.m_Tables; }
+  Indexes &indexes() { return m_Out.m_State.m_Indexes; }
+  [[nodiscard]] core::Time now() const { return m_Out.m_State.m_Tables.m_At; }
+};
+
+} // namespace impl
+
+using impl::Work;
+
+// ---- Indexes ---------------------------------------------------------------
+
+static core::Time expectedEnd(const Tables &Value, const job::Job &Job) {
+  core::Time From = Job.phase() == job::Phase::Reserving
+                        ? Value.m_At
+                        : Job.fields().m_StartedAt;
+  return From + Value.m_Estimates.runTime(Job.spec());
+}
+
+static void addToIndexes(const Tables &Stored, Indexes &Into,
+                         const job::Job &Value) {
+  const core::JobKey &Key = Value.key();
+  if (Value.phase() == job::Phase::Queued) {
+    Into.m_Queued.insert(Key);
+    ++Into.m_QueuedByWorkspace[Key.m_Workspace];
+  } else if (Value.holdsCapacity()) {
+    Into.m_Placed.insert(Key);
+    Into.m_Fleet =
+        std::move(Into.m_Fleet).occupied(Value, expectedEnd(Stored, Value));
+  } else {
+    Into.m_Finished.emplace(Value.fields().m_FinishedAt, Key);
+  }
+}
+
+static void removeFromIndexes(Indexes &From, const job::Job &Value) {
+  const core::JobKey &Key = Value.key();
+  if (Value.phase() == job::Phase::Queued) {
+    From.m_Queued.erase(Key);
+    auto Count = From.m_QueuedByWorkspace.find(Key.m_Workspace);
+    if (--Count->second == 0)
+      From.m_QueuedByWorkspace.erase(Count);
+  } else if (Value.holdsCapacity()) {
+    From.m_Placed.erase(Key);
+    From.m_Fleet = std::move(From.m_Fleet).released(Value);
+  } else {
+    From.m_Finished.erase({Value.fields().m_FinishedAt, Key});
+  }
+}
+
+State restore(Tables Stored) {
+  State Restored;
+  for (const auto &[Id, Value] : Stored.m_Targets)
+    Restored.m_Indexes.m_Fleet =
+        std::move(Restored.m_Indexes.m_Fleet).withTarget(Value);
+  for (const auto &[Key, Value] : Stored.m_Jobs)
+    addToIndexes(Stored, Restored.m_Indexes, Value);
+  Restored.m_Tables = std::move(Stored);
+  return Restored;
+}
+
+const job::Job *findJob(const State &Value, const core::JobKey &Key) {
+  auto Found = Value.m_Tables.m_Jobs.find(Key);
+  return Found == Value.m_Tables.m_Jobs.end() ? nullptr : &Found->second;
+}
+
+// ---- Replacing one value in a table ----------------------------------------
+
+static void replaceJob(Work &W, const job::Job &Before, job::Job After) {
+  bool Moved = Before.phase() != After.phase() ||
+               Before.fields().m_Attempt != After.fields().m_Attempt;
+  if (Moved) {
+    removeFromIndexes(W.indexes(), Before);
+    W.m_Out.m_Changes.push_back({.m_Job = After.key(),
+                                 .m_From = Before.phase(),
+                                 .m_To = After.phase()});
+    addToIndexes(W.tables(), W.indexes(), After);
+  }
+  W.tables().m_Jobs.insert_or_assign(After.key(), std::move(After));
+}
+
+static core::Reason changeJob(Work &W, const core::JobKey &Key,
+                              const job::Input &Value) {
+  const job::Job *Found = findJob(W.m_Out.m_State, Key);
+  if (!Found)
+    return {core::ReasonCode::NotFound, "id", "no such job"};
+  auto Next = job::next(*Found, Value, W.now());
+  if (!Next)
+    return Next.reason();
+  replaceJob(W, job::Job(*Found), *std::move(Next));
+  return {};
+}
+
+// Like changeJob, but ignores inputs that speak of an earlier attempt.
+static core::Reason changeAttempt(Work &W, const core::JobKey &Key,
+                                  std::uint32_t Attempt,
+                                  const job::Input &Value) {
+  const job::Job *Found = findJob(W.m_Out.m_State, Key);
+  if (Found && Found->fields().m_Attempt != Attempt)
+    return {core::ReasonCode::Conflict, "attempt",
+            "attempt " + std::to_string(Found->fields().m_Attempt) +
+                " is the present one"};
+  return changeJob(W, Key, Value);
+}
+
+static void replaceTarget(Work &W, target::Target After) {
+  W.indexes().m_Fleet = std::move(W.indexes().m_Fleet).withTarget(After);
+  W.tables().m_Targets.insert_or_assign(After.id(), std::move(After));
+  W.m_Out.m_FleetChanged = true;
+}
+
+static void remember(Work &W, const placement::Decision &Value) {
+  std::vector<placement::Decision> &Kept = W.tables().m_Decisions[Value.m_Job];
+  Kept.push_back(Value);
+  if (Kept.size() > DecisionsPerJob)
+    Kept.erase(Kept.begin());
+}
+
+// Tells every job on the target that its member is lost.
+static void loseMembers(Work &W, const core::TargetId &Id) {
+  const placement::Slot *Slot = W.indexes().m_Fleet.find(Id);
+  if (!Slot)
+    return;
+  std::vector<core::JobKey> Affected;
+  for (const placement::Occupant &Each : Slot->m_Occupants)
+    Affected.push_back(Each.m_Job);
+  for (const core::JobKey &Key : Affected)
+    (void)changeJob(W, Key, job::MemberLost{.m_Target = Id});
+}
+
+// ---- One function for each command -----------------------------------------
+
+static core::Reason applyOne(Work &W, const AcceptJob &Value) {
+  const core::JobKey &Key = Value.m_Spec.m_Key;
+  if (const job::Job *Known = findJob(W.m_Out.m_State, Key)) {
+    if (Known->spec() == Value.m_Spec)
+      return {};
+    return {core::ReasonCode::Conflict, "id",
+            "is taken by a request with other content"};
+  }
+  if (!W.tables().m_Configuration.find(Key.m_Workspace))
+    return {core::ReasonCode::NotFound, "workspace", "is not configured"};
+  auto Created = job::Job::create(Value.m_Spec, W.now());
+  if (!Created)
+    return Created.reason();
+  addToIndexes(W.tables(), W.indexes(), *Created);
+  W.m_Out.m_Changes.push_back({.m_Job = Key});
+  W.tables().m_Jobs.emplace(Key, *std::move(Created));
+  return {};
+}
+
+static core::Reason applyOne(Work &W, const CancelJob &Value) {
+  const job::Job *Found = findJob(W.m_Out.m_State, Value.m_Job);
+  // A resent cancel, or one that lost the race, changes nothing.
+  if (Found && (Found->isFinished() ||
+                Found->fields().m_StopCause == job::StopCause::Cancelled))
+    return {};
+  return changeJob(W, Value.m_Job, job::Cancel{});
+}
+
+static core::Reason applyOne(Work &W, const ChangeConfiguration &Value) {
+  auto Next = configuration::next(W.tables().m_Configuration, Value.m_Proposal);
+  if (!Next)
+    return Next.reason();
+  W.tables().m_Configuration = *std::move(Next);
+  W.m_Out.m_FleetChanged = true;
+  return {};
+}
+
+static core::Reason applyOne(Work &W, const AnnounceTarget &Value) {
+  auto Created = target::Target::create(Value.m_Announcement);
+  if (!Created)
+    return Created.reason();
+  const core::TargetId &Id = Created->id();
+  auto Known = W.tables().m_Targets.find(Id);
+  if (Known == W.tables().m_Targets.end()) {
+    replaceTarget(W, *std::move(Created));
+    return {};
+  }
+  bool Restarted = Known->second.announcement().m_Incarnation !=
+                   Value.m_Announcement.m_Incarnation;
+  target::Target Next = Known->second.announcedAgain(Value.m_Announcement);
+  if (Restarted)
+    loseMembers(W, Id);
+  replaceTarget(W, std::move(Next));
+  return {};
+}
+
+static core::Reason setPresence(Work &W, const core::TargetId &Id,
+                                target::Presence Value) {
+  auto Known = W.tables().m_Targets.find(Id);
+  if (Known == W.tables().m_Targets.end())
+    return {core::ReasonCode::NotFound, "target", "has not announced itself"};
+  replaceTarget(W, Known->second.withPresence(Value));
+  return {};
+}
+
+static core::Reason applyOne(Work &W, const LeaveTarget &Value) {
+  return setPresence(W, Value.m_Target, target::Presence::Leaving);
+}
+
+static core::Reason applyOne(Work &W, const LoseTarget &Value) {
+  loseMembers(W, Value.m_Target);
+  return setPresence(W, Value.m_Target, target::Presence::Lost);
+}
+
+static core::Reason applyOne(Work &W, const PlaceJob &Value) {
+  const placement::Decision &Said = Value.m_Decision;
+  core::Reason Why = changeJob(W, Said.m_Job,
+                               job::Place{.m_Fence = W.tables().m_NextFence,
+                                          .m_Targets = Said.m_Targets});
+  if (Why.m_Code != core::ReasonCode::None)
+    return Why;
+  ++W.tables().m_NextFence;
+  remember(W, Said);
+  return {};
+}
+
+static core::Reason applyOne(Work &W, const StartJob &Value) {
+  return changeAttempt(W, Value.m_Job, Value.m_Attempt, job::Start{});
+}
+
+static core::Reason applyOne(Work &W, const RefuseJob &Value) {
+  return changeAttempt(W, Value.m_Job, Value.m_Attempt,
+                       job::Refuse{.m_MayHaveRun = Value.m_MayHaveRun});
+}
+
+static core::Reason applyOne(Work &W, const ReclaimFor &Value) {
+  remember(W, Value.m_Decision);
+  for (const core::JobKey &Victim : Value.m_Decision.m_Victims)
+    (void)changeJob(W, Victim, job::Reclaim{});
+  return {};
+}
+
+static core::Reason applyOne(Work &W, const ConfirmStopped &Value) {
+  return changeAttempt(W, Value.m_Job, Value.m_Attempt, job::Stopped{});
+}
+
+// Learns from a task's end: its target's health and, once the whole gang has
+// answered, how long such work runs.
+static void learn(Work &W, const FinishTask &Value, const job::Job &Before) {
+  const core::TargetId &Id = Before.fields().m_Members[Value.m_Task].m_Target;
+  auto Known = W.tables().m_Targets.find(Id);
+  if (Known != W.tables().m_Targets.end()) {
+    target::Target Next = Value.m_Succeeded
+                              ? Known->second.afterSuccess()
+                              : Known->second.afterFailure(W.now());
+    if (Next != Known->second)
+      replaceTarget(W, std::move(Next));
+  }
+  const job::Job *After = findJob(W.m_Out.m_State, Value.m_Job);
+  if (After && After->phase() == job::Phase::Answered)
+    W.tables().m_Estimates =
+        std::move(W.tables().m_Estimates)
+            .observed(After->spec(), W.now() - After->fields().m_StartedAt);
+}
+
+static core::Reason applyOne(Work &W, const FinishTask &Value) {
+  const job::Job *Found = findJob(W.m_Out.m_State, Value.m_Job);
+  if (!Found)
+    return {core::ReasonCode::NotFound, "id", "no such job"};
+  job::Job Before = *Found;
+  core::Reason Why =
+      changeAttempt(W, Value.m_Job, Value.m_Attempt,
+                    job::TaskDone{.m_Task = Value.m_Task,
+                                  .m_Succeeded = Value.m_Succeeded,
+                                  .m_Answer = Value.m_Answer});
+  bool Counts = Why.m_Code == core::ReasonCode::None &&
+                Value.m_Task < Before.fields().m_Members.size();
+  if (Counts)
+    learn(W, Value, Before);
+  return Why;
+}
+
+static core::Reason applyOne(Work &W, const RejectJob &Value) {
+  return changeJob(W, Value.m_Job, job::Reject{.m_Why = Value.m_Why});
+}
+
+static core::Reason applyOne(Work &W, const ExpireJobs &) {
+  core::Duration Retention = W.tables().m_Configuration.limits().m_Retention;
+  auto &Finished = W.indexes().m_Finished;
+  while (!Finished.empty() && (Finished.begin()->first + Retention <= W.now() ||
+                               Finished.size() > MaxFinishedJobs)) {
+    W.tables().m_Jobs.erase(Finished.begin()->second);
+    W.tables().m_Decisions.erase(Finished.begin()->second);
+    Finished.erase(Finished.begin());
+  }
+  return {};
+}
+
+Applied apply(State Current, const Batch &Value) {
+  Work W{.m_Out = {.m_State = std::move(Current)}};
+  // Leaders' clocks differ; the state's time never goes back.
+  W.tables().m_At = std::max(W.tables().m_At, Value.m_At);
+  for (const Command &Each : Value.m_Commands)
+    W.m_Out.m_Results.push_back(std::visit(
+        [&](const auto &Typed) { return applyOne(W, Typed); }, Each));
+  return std::move(W.m_Out);
+}
+
+} // namespace fireflydrift::control
--- /dev/null
+++ b/packages/control/state.h
@@ -0,0 +1,87 @@
+// The one state machine that the log drives: the tables of aggregates, and the
+// function that applies a command to them.
+#ifndef FIREFLYDRIFT_CONTROL_STATE_H
+#define FIREFLYDRIFT_CONTROL_STATE_H
+
+#include "control/command.h"
+#include "placement/estimate.h"
+#include "placement/fleet.h"
+
+#include <set>
+
+namespace fireflydrift::control {
+
+// Decisions that are kept to explain one job.
+inline constexpr std::size_t DecisionsPerJob = 8;
+
+// ---- State -----------------------------------------------------------------
+
+// What a snapshot holds.
+struct Tables {
+  configuration::Configuration m_Configuration;
+  std::map<core::TargetId, target::Target> m_Targets;
+  std::map<core::JobKey, job::Job> m_Jobs;
+  std::map<core::JobKey, std::vector<placement::Decision>> m_Decisions;
+  placement::Estimates m_Estimates;
+  std::uint64_t m_NextFence = 1;
+  // Time of the newest batch; never goes back.
+  core::Time m_At;
+
+  friend bool operator==(const Tables &, const Tables &) = default;
+};
+
+// Looked up often and derived from the tables.
+struct Indexes {
+  placement::Fleet m_Fleet;
+  std::set<core::JobKey> m_Queued;
+  std::map<core::WorkspaceId, std::uint32_t> m_QueuedByWorkspace;
+  // Jobs that hold capacity.
+  std::set<core::JobKey> m_Placed;
+  std::set<std::pair<core::Time, core::JobKey>> m_Finished;
+
+  friend bool operator==(const Indexes &, const Indexes &) = default;
+};
+
+struct State {
+  Tables m_Tables;
+  Indexes m_Indexes;
+
+  friend bool operator==(const State &, const State &) = default;
+};
+
+// The state that a snapshot's tables stand for.
+[[nodiscard]] State restore(Tables Stored);
+
+// The job, or nullptr when it was never accepted or is forgotten.
+[[nodiscard]] const job::Job *findJob(const State &Value,
+                                      const core::JobKey &Key);
+
+// ---- Applying commands -----------------------------------------------------
+
+// A job whose phase or attempt changed.
+struct Change {
+  core::JobKey m_Job;
+  job::Phase m_From = job::Phase::Queued;
+  job::Phase m_To = job::Phase::Queued;
+
+  friend bool operator==(const Change &, const Change &) = default;
+};
+
+struct Applied {
+  State m_State;
+  // Each command's result: code None where it took effect or had done so.
+  std::vector<core::Reason> m_Results;
+  std::vector<Change> m_Changes;
+  // True when targets or the configuration changed, so that witnesses must be
+  // found again.
+  bool m_FleetChanged = false;
+
+  friend bool operator==(const Applied &, const Applied &) = default;
+};
+
+// The state after a batch. Depends on nothing but its arguments.
+[[nodiscard]] Applied apply(State Current, const Batch &Value);
+
+} // namespace fireflydrift::control
+
+#endif // FIREFLYDRIFT_CONTROL_STATE_H
--- /dev/null
+++ b/packages/core/outcome.h
@@ -0,0 +1,80 @@
+// Results as values: a std::optional together with the reason it is empty.
+#ifndef FIREFLYDRIFT_CORE_OUTCOME_H
+#define FIREFLYDRIFT_CORE_OUTCOME_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace fireflydrift::core {
+
+// Kinds of failure. Front ends map them to their own status codes.
+enum class ReasonCode : std::uint8_t {
+  None,
+  InvalidInput,
+  NotFound,
+  Conflict,
+  TooLarge,
+  Unplaceable,
+  QuotaExceeded,
+  Overloaded,
+  NotLeader,
+  Unavailable,
+  Corrupt,
+  Io,
+  IllegalTransition,
+  TargetLost,
+  TaskFailed,
+  Cancelled,
+  Unauthorized,
+};
+
+// Why something did not succeed: the kind, the offending field and the rule
+// that it broke.
+struct Reason {
+  ReasonCode m_Code = ReasonCode::None;
+  std::string m_Field;
+  std::string m_Rule;
+
+  friend bool operator==(const Reason &, const Reason &) = default;
+  friend auto operator<=>(const Reason &, const Reason &) = default;
+};
+
+// Short lower-case name of a reason code, as it appears in logs and answers.
+[[nodiscard]] const char *toString(ReasonCode Code) noexcept;
+
+// Writes a reason as "code: field: rule"; empty for ReasonCode::None.
+[[nodiscard]] std::string toString(const Reason &Why);
+
+// Either a value or the reason there is none.
+template <class T> class [[nodiscard]] Outcome {
+public:
+  // Conversions are implicit so that functions can return either side as is.
+  Outcome(T Value) : m_Value(std::move(Value)) {}
+  Outcome(Reason Why) : m_Reason(std::move(Why)) {}
+
+  [[nodiscard]] bool hasValue() const noexcept { return m_Value.has_value(); }
+  [[nodiscard]] const Reason &reason() const noexcept { return m_Reason; }
+  [[nodiscard]] const std::optional<T> &value() const &noexcept {
+    return m_Value;
+  }
+  [[nodiscard]] std::optional<T> &&value() &&noexcept {
+    return std::move(m_Value);
+  }
+
+  friend bool operator==(const Outcome &, const Outcome &) = default;
+
+  explicit operator bool() const noexcept { return hasValue(); }
+  const T &operator*() const & { return *m_Value; }
+  T &&operator*() && { return *std::move(m_Value); }
+  const T *operator->() const { return &*m_Value; }
+
+private:
+  std::optional<T> m_Value;
+  Reason m_Reason;
+};
+
+} // namespace fireflydrift::core
+
+#endif // FIREFLYDRIFT_CORE_OUTCOME_H
--- /dev/null
+++ b/packages/core/shape.h
@@ -0,0 +1,76 @@
+// Amounts of capacity and the shapes that gangs and guarantees ask for.
+#ifndef FIREFLYDRIFT_CORE_SHAPE_H
+#define FIREFLYDRIFT_CORE_SHAPE_H
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <limits>
+
+namespace fireflydrift::core {
+
+// Most tasks in one gang.
+inline constexpr std::uint32_t MaxGangTasks = 64;
+
+// An amount of each resource of a target. Memory is in mebibytes.
+struct Capacity {
+  std::int64_t m_Accelerators = 0;
+  std::int64_t m_Processors = 0;
+  std::int64_t m_MemoryMb = 0;
+
+  // True when every resource of Needed is available here.
+  [[nodiscard]] constexpr bool covers(const Capacity &Needed) const noexcept {
+    return m_Accelerators >= Needed.m_Accelerators &&
+           m_Processors >= Needed.m_Processors &&
+           m_MemoryMb >= Needed.m_MemoryMb;
+  }
+  // How many times Needed fits, at most the largest 32-bit count.
+  [[nodiscard]] constexpr std::uint32_t
+  count(const Capacity &Needed) const noexcept {
+    std::int64_t Fits = std::numeric_limits<std::uint32_t>::max();
+    auto Limit = [&Fits](std::int64_t Here, std::int64_t Each) {
+      if (Each > 0)
+        Fits = std::min(Fits, std::max<std::int64_t>(Here, 0) / Each);
+    };
+    Limit(m_Accelerators, Needed.m_Accelerators);
+    Limit(m_Processors, Needed.m_Processors);
+    Limit(m_MemoryMb, Needed.m_MemoryMb);
+    return static_cast<std::uint32_t>(Fits);
+  }
+
+  friend bool operator==(const Capacity &, const Capacity &) = default;
+  friend auto operator<=>(const Capacity &, const Capacity &) = default;
+  friend constexpr Capacity operator+(const Capacity &A, const Capacity &B) {
+    return {A.m_Accelerators + B.m_Accelerators,
+            A.m_Processors + B.m_Processors, A.m_MemoryMb + B.m_MemoryMb};
+  }
+  friend constexpr Capacity operator-(const Capacity &A, const Capacity &B) {
+    return {A.m_Accelerators - B.m_Accelerators,
+            A.m_Processors - B.m_Processors, A.m_MemoryMb - B.m_MemoryMb};
+  }
+  friend constexpr Capacity operator*(const Capacity &A, std::int64_t Times) {
+    return {A.m_Accelerators * Times, A.m_Processors * Times,
+            A.m_MemoryMb * Times};
+  }
+};
+
+// How strongly a gang asks for targets of one rack.
+enum class Adjacency : std::uint8_t { None, Preferred, Required };
+
+// A gang: so many tasks, each of the same capacity.
+struct Shape {
+  std::uint32_t m_Tasks = 1;
+  Capacity m_PerTask;
+  Adjacency m_Adjacency = Adjacency::None;
+
+  [[nodiscard]] constexpr Capacity total() const noexcept {
+    return m_PerTask * m_Tasks;
+  }
+
+  friend bool operator==(const Shape &, const Shape &) = default;
+  friend auto operator<=>(const Shape &, const Shape &) = default;
+};
+
+} // namespace fireflydrift::core
+
+#endif // FIREFLYDRIFT_CORE_SHAPE_H
--- /dev/null
+++ b/packages/core/time.h
@@ -0,0 +1,34 @@
+// Points in time and durations, in milliseconds. Nothing in the decision
+// packages reads a clock; the present time is always an argument.
+#ifndef FIREFLYDRIFT_CORE_TIME_H
+#define FIREFLYDRIFT_CORE_TIME_H
+
+#include <chrono>
+
+namespace fireflydrift::core {
+
+// Marks time points as coming from the runtime or from a virtual clock.
+struct Clock {
+  using duration = std::chrono::milliseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+  static constexpr bool is_steady = false;
+};
+
+using Duration = std::chrono::milliseconds;
+using Time = Clock::time_point;
+
+// Builds a time point from milliseconds since the clock's epoch.
+[[nodiscard]] constexpr Time timeFromMs(Duration::rep Ms) noexcept {
+  return Time(Duration(Ms));
+}
+
+// Milliseconds since the clock's epoch.
+[[nodiscard]] constexpr Duration::rep toMs(Time At) noexcept {
+  return At.time_since_epoch().count();
+}
+
+} // namespace fireflydrift::core
+
+#endif // FIREFLYDRIFT_CORE_TIME_H
--- /dev/null
+++ b/packages/job/forward_declarations.h
@@ -0,0 +1,14 @@
+// Names of the job aggregate's types.
+#ifndef FIREFLYDRIFT_JOB_FORWARD_DECLARATIONS_H
+#define FIREFLYDRIFT_JOB_FORWARD_DECLARATIONS_H
+
+namespace fireflydrift::job {
+
+class Job;
+struct JobFields;
+struct JobSpec;
+struct Member;
+
+} // namespace fireflydrift::job
+
+#endif // FIREFLYDRIFT_JOB_FORWARD_DECLARATIONS_H
--- /dev/null
+++ b/packages/job/job.h
@@ -0,0 +1,200 @@
+// The job aggregate: a request's life from acceptance to its outcome, as one
+// table of transitions.
+#ifndef FIREFLYDRIFT_JOB_JOB_H
+#define FIREFLYDRIFT_JOB_JOB_H
+
+#include "core/ids.h"
+#include "core/labels.h"
+#include "core/outcome.h"
+#include "core/shape.h"
+#include "core/time.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fireflydrift::job {
+
+// Largest request body and largest answer of one task, in bytes.
+inline constexpr std::size_t MaxBodyBytes = 256 * 1024;
+// Failed attempts after which an idempotent job counts as at fault itself.
+inline constexpr std::uint32_t MaxFailedAttempts = 3;
+// Longest run time that a caller may declare: thirty days.
+inline constexpr core::Duration MaxRunTime{30LL * 24 * 3600 * 1000};
+
+// ---- What a caller asks for ------------------------------------------------
+
+// A caller's request, after validation.
+struct JobSpec {
+  core::JobKey m_Key;
+  core::Shape m_Shape;
+  // Declared run time of the longest task; a prior, not a limit.
+  core::Duration m_RunTime{1000};
+  bool m_Idempotent = true;
+  core::Selector m_Selector;
+  core::Labels m_Labels;
+  std::string m_Body;
+
+  friend bool operator==(const JobSpec &, const JobSpec &) = default;
+  friend auto operator<=>(const JobSpec &, const JobSpec &) = default;
+};
+
+// Label values with a meaning of their own.
+inline constexpr const char *UrgencyLabel = "urgency";
+inline constexpr const char *UrgentValue = "urgent";
+inline constexpr const char *CheckpointLabel = "checkpoint";
+
+// Checks every field; the reason names the first that breaks a rule.
+[[nodiscard]] core::Reason check(const JobSpec &Spec);
+
+// ---- The life of a job -----------------------------------------------------
+
+enum class Phase : std::uint8_t {
+  Queued,
+  Reserving,
+  Running,
+  Stopping,
+  Answered,
+  Failed,
+  Cancelled,
+  NotRun,
+  Unknown,
+};
+inline constexpr std::size_t PhaseCount = 9;
+
+// Why a placed job is being stopped.
+enum class StopCause : std::uint8_t {
+  None,
+  Refused,
+  Cancelled,
+  Reclaimed,
+  MemberLost,
+  TaskFailed,
+};
+
+// One task of the gang on its target.
+struct Member {
+  core::TargetId m_Target;
+  bool m_Done = false;
+  std::string m_Answer;
+
+  friend bool operator==(const Member &, const Member &) = default;
+  friend auto operator<=>(const Member &, const Member &) = default;
+};
+
+// The stored form of a job.
+struct JobFields {
+  JobSpec m_Spec;
+  Phase m_Phase = Phase::Queued;
+  // Counts placements; answers of earlier attempts are ignored.
+  std::uint32_t m_Attempt = 0;
+  // Fencing number of the current attempt's leases.
+  std::uint64_t m_Fence = 0;
+  std::vector<Member> m_Members;
+  core::Time m_AcceptedAt;
+  core::Time m_StartedAt;
+  core::Time m_FinishedAt;
+  StopCause m_StopCause = StopCause::None;
+  // True once a start may have reached any target in the current attempt.
+  bool m_MayHaveRun = false;
+  std::uint32_t m_FailedAttempts = 0;
+  std::uint32_t m_Reclaims = 0;
+  core::Reason m_Reason;
+
+  friend bool operator==(const JobFields &, const JobFields &) = default;
+  friend auto operator<=>(const JobFields &, const JobFields &) = default;
+};
+
+// Inputs of the transition table.
+struct Place {
+  std::uint64_t m_Fence = 0;
+  std::vector<core::TargetId> m_Targets;
+  friend bool operator==(const Place &, const Place &) = default;
+};
+// Every member confirmed its reservation; the start may now leave.
+struct Start {
+  friend bool operator==(const Start &, const Start &) = default;
+};
+struct TaskDone {
+  std::uint32_t m_Task = 0;
+  bool m_Succeeded = true;
+  std::string m_Answer;
+  friend bool operator==(const TaskDone &, const TaskDone &) = default;
+};
+struct MemberLost {
+  core::TargetId m_Target;
+  friend bool operator==(const MemberLost &, const MemberLost &) = default;
+};
+struct Cancel {
+  friend bool operator==(const Cancel &, const Cancel &) = default;
+};
+// A member refused its reservation or its start.
+struct Refuse {
+  // False only when it is certain that no member has started.
+  bool m_MayHaveRun = false;
+  friend bool operator==(const Refuse &, const Refuse &) = default;
+};
+struct Reclaim {
+  friend bool operator==(const Reclaim &, const Reclaim &) = default;
+};
+// Every member confirmed that it stopped, or its lease has ended.
+struct Stopped {
+  friend bool operator==(const Stopped &, const Stopped &) = default;
+};
+// The job can never be placed.
+struct Reject {
+  core::Reason m_Why;
+  friend bool operator==(const Reject &, const Reject &) = default;
+};
+
+using Input = std::variant<Place, Start, TaskDone, MemberLost, Cancel, Refuse,
+                           Reclaim, Stopped, Reject>;
+inline constexpr std::size_t InputCount = std::variant_size_v<Input>;
+
+// One accepted request.
+class Job {
+public:
+  // Fails with the reason that check() gives.
+  [[nodiscard]] static core::Outcome<Job> create(JobSpec Spec, core::Time Now);
+  // Rebuilds a job from its stored form.
+  [[nodiscard]] static Job restore(JobFields Fields) noexcept;
+
+  [[nodiscard]] const JobFields &fields() const noexcept { return m_Fields; }
+  [[nodiscard]] const JobSpec &spec() const noexcept { return m_Fields.m_Spec; }
+  [[nodiscard]] const core::JobKey &key() const noexcept {
+    return spec().m_Key;
+  }
+  [[nodiscard]] Phase phase() const noexcept { return m_Fields.m_Phase; }
+  [[nodiscard]] bool isUrgent() const;
+  // True when the job holds capacity on targets.
+  [[nodiscard]] bool holdsCapacity() const noexcept;
+  // True when the job's outcome will not change any more.
+  [[nodiscard]] bool isFinished() const noexcept;
+  // True when the job may be stopped and run again for another workspace's
+  // guarantee.
+  [[nodiscard]] bool isReclaimable() const noexcept;
+
+  friend bool operator==(const Job &, const Job &) = default;
+
+private:
+  explicit Job(JobFields Fields) noexcept : m_Fields(std::move(Fields)) {}
+
+  JobFields m_Fields;
+};
+
+// True when Input number InputIndex has an effect in this phase. The table
+// behind it names every pair.
+[[nodiscard]] bool isLegal(Phase From, std::size_t InputIndex) noexcept;
+
+// The job after Value happened to it at Now. Fails with IllegalTransition for
+// a pair that the table does not allow; callers treat that as a stale input.
+[[nodiscard]] core::Outcome<Job> next(const Job &Current, const Input &Value,
+                                      core::Time Now);
+
+// The outcome's name as a caller sees it.
+[[nodiscard]] const char *outcomeName(Phase Value) noexcept;
+[[nodiscard]] const char *toString(StopCause Value) noexcept;
+
+} // namespace fireflydrift::job
+
+#endif // FIREFLYDRIFT_JOB_JOB_H
--- /dev/null
+++ b/packages/membership/membership.cpp
@@ -0,0 +1,96 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+
+namespace fireflydrift::membership {
+
+Membership::Membership(core::VmId Self, const std::vector<VmAddress> &Addresses)
+    : m_Self(std::move(Self)) {
+  for (const VmAddress &Address : Addresses)
+    m_Contacts.emplace(Address.m_Id, Contact{.m_Address = Address});
+}
+
+const Contact *Membership::find(const core::VmId &Vm) const {
+  auto Found = m_Contacts.find(Vm);
+  return Found == m_Contacts.end() ? nullptr : &Found->second;
+}
+
+Liveness Membership::liveness(const core::VmId &Vm, core::Time Now,
+                              const DetectionOptions &Options) const {
+  if (Vm == m_Self)
+    return Liveness::Alive;
+  const Contact *Known = find(Vm);
+  if (!Known || !Known->m_Heard)
+    return Liveness::Unheard;
+  core::Duration Silence =
+      Now - std::max(Known->m_LastDatagram, Known->m_LastFrame);
+  if (Silence >= Options.m_GoneAfter)
+    return Liveness::Gone;
+  return Silence >= Options.m_SuspectAfter ? Liveness::Suspect
+                                           : Liveness::Alive;
+}
+
+bool Membership::connectionIsSilent(const core::VmId &Vm, core::Time Now,
+                                    const DetectionOptions &Options) const {
+  const Contact *Known = find(Vm);
+  return Known && Known->m_Heard &&
+         Now - Known->m_LastDatagram < Options.m_SuspectAfter &&
+         Now - Known->m_LastFrame >= Options.m_SuspectAfter;
+}
+
+core::VmId Membership::leader(core::Time Now,
+                              const DetectionOptions &Options) const {
+  const Contact *Best = nullptr;
+  for (const auto &[Vm, Known] : m_Contacts) {
+    bool Fresh =
+        Known.m_Heard && Now - Known.m_LastDatagram < Options.m_SuspectAfter;
+    if (Fresh && !Known.m_Leader.empty() &&
+        (!Best || Known.m_Term > Best->m_Term))
+      Best = &Known;
+  }
+  return Best ? Best->m_Leader : core::VmId();
+}
+
+Membership Membership::heardDatagram(const Beat &Value, core::Time Now) const {
+  Membership Next = *this;
+  auto Found = Next.m_Contacts.find(Value.m_From);
+  if (Found == Next.m_Contacts.end())
+    return Next;
+  Contact &Known = Found->second;
+  Known.m_Heard = true;
+  Known.m_LastDatagram = std::max(Known.m_LastDatagram, Now);
+  // Datagrams may arrive out of order; a version never goes back.
+  Known.m_ConfigurationVersion =
+      std::max(Known.m_ConfigurationVersion, Value.m_ConfigurationVersion);
+  Known.m_Draining = Value.m_Draining;
+  Known.m_Leader = Value.m_Leader;
+  Known.m_Term = Value.m_Term;
+  return Next;
+}
+
+Membership Membership::heardFrame(const core::VmId &From,
+                                  core::Time Now) const {
+  Membership Next = *this;
+  auto Found = Next.m_Contacts.find(From);
+  if (Found == Next.m_Contacts.end())
+    return Next;
+  Found->second.m_Heard = true;
+  Found->second.m_LastFrame = std::max(Found->second.m_LastFrame, Now);
+  return Next;
+}
+
+const char *toString(Liveness Value) noexcept {
+  switch (Value) {
+  case Liveness::Unheard:
+    return "unheard";
+  case Liveness::Alive:
+    return "alive";
+  case Liveness::Suspect:
+    return "suspect";
+  case Liveness::Gone:
+    return "gone";
+  }
+  return "unheard";
+}
+
+} // namespace fireflydrift::membership
--- /dev/null
+++ b/packages/messages/archive.h
@@ -0,0 +1,324 @@
+// Which members of each type are encoded, in which order. Included by codec.cpp
+// alone, because cereal's headers are heavy.
+#ifndef FIREFLYDRIFT_MESSAGES_ARCHIVE_H
+#define FIREFLYDRIFT_MESSAGES_ARCHIVE_H
+
+#include "messages/codec.h"
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/common.hpp>
+#include <cereal/types/deque.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace fireflydrift::core {
+
+template <class Archive, class Tag>
+std::string save_minimal(const Archive &, const Id<Tag> &Value) {
+  return Value.text();
+}
+template <class Archive, class Tag>
+void load_minimal(const Archive &, Id<Tag> &Value, const std::string &Text) {
+  Value = Id<Tag>(Text);
+}
+template <class A> void serialize(A &Ar, JobKey &V) {
+  Ar(V.m_Workspace, V.m_Request);
+}
+template <class A> void serialize(A &Ar, Reason &V) {
+  Ar(V.m_Code, V.m_Field, V.m_Rule);
+}
+template <class A> void save(A &Ar, const Labels &V) { Ar(V.entries()); }
+template <class A> void load(A &Ar, Labels &V) {
+  std::map<std::string, std::string> Entries;
+  Ar(Entries);
+  V = Labels(std::move(Entries));
+}
+template <class A> std::string save_minimal(const A &, const Selector &V) {
+  return toString(V);
+}
+template <class A>
+void load_minimal(const A &, Selector &V, const std::string &Text) {
+  auto Parsed = Selector::parse(Text);
+  if (!Parsed)
+    throw cereal::Exception("not a selector");
+  V = *std::move(Parsed);
+}
+template <class A> void serialize(A &Ar, Capacity &V) {
+  Ar(V.m_Accelerators, V.m_Processors, V.m_MemoryMb);
+}
+template <class A> void serialize(A &Ar, Shape &V) {
+  Ar(V.m_Tasks, V.m_PerTask, V.m_Adjacency);
+}
+
+} // namespace fireflydrift::core
+
+namespace fireflydrift::workspace {
+
+template <class A> void serialize(A &Ar, Guarantee &V) {
+  Ar(V.m_Name, V.m_Shape, V.m_Selector, V.m_ReclaimWithin);
+}
+template <class A> void serialize(A &Ar, WorkspaceSpec &V) {
+  Ar(V.m_Id, V.m_Quota, V.m_MayBorrow, V.m_Weight, V.m_Guarantees);
+}
+
+} // namespace fireflydrift::workspace
+
+namespace fireflydrift::configuration {
+
+template <class A> void serialize(A &Ar, Limits &V) {
+  Ar(V.m_QueuedPerWorkspace, V.m_ShortReserve, V.m_ShortRunTime, V.m_Retention);
+}
+template <class A> void serialize(A &Ar, Proposal &V) {
+  Ar(V.m_Operation, V.m_Replaces, V.m_Workspaces, V.m_Limits);
+}
+template <class A> void serialize(A &Ar, ConfigurationFields &V) {
+  Ar(V.m_Version, V.m_Operation, V.m_Workspaces, V.m_Limits, V.m_Accepted);
+}
+template <class A> void save(A &Ar, const Configuration &V) { Ar(V.fields()); }
+template <class A> void load(A &Ar, Configuration &V) {
+  ConfigurationFields Fields;
+  Ar(Fields);
+  V = Configuration::restore(std::move(Fields));
+}
+
+} // namespace fireflydrift::configuration
+
+namespace fireflydrift::target {
+
+template <class A> void serialize(A &Ar, Announcement &V) {
+  Ar(V.m_Id, V.m_Host, V.m_Port, V.m_Incarnation, V.m_Region, V.m_FailureDomain,
+     V.m_Rack, V.m_Labels, V.m_Capacity);
+}
+template <class A> void serialize(A &Ar, TargetFields &V) {
+  Ar(V.m_Announcement, V.m_Presence, V.m_ConsecutiveFailures, V.m_Quarantines,
+     V.m_QuarantinedUntil);
+}
+
+} // namespace fireflydrift::target
+
+namespace fireflydrift::job {
+
+template <class A> void serialize(A &Ar, JobSpec &V) {
+  Ar(V.m_Key, V.m_Shape, V.m_RunTime, V.m_Idempotent, V.m_Selector, V.m_Labels,
+     V.m_Body);
+}
+template <class A> void serialize(A &Ar, Member &V) {
+  Ar(V.m_Target, V.m_Done, V.m_Answer);
+}
+template <class A> void serialize(A &Ar, JobFields &V) {
+  Ar(V.m_Spec, V.m_Phase, V.m_Attempt, V.m_Fence, V.m_Members, V.m_AcceptedAt,
+     V.m_StartedAt, V.m_FinishedAt, V.m_StopCause, V.m_MayHaveRun,
+     V.m_FailedAttempts, V.m_Reclaims, V.m_Reason);
+}
+
+} // namespace fireflydrift::job
+
+namespace fireflydrift::placement {
+
+template <class A> void serialize(A &Ar, Decision &V) {
+  Ar(V.m_Job, V.m_At, V.m_Verdict, V.m_Targets, V.m_Victims, V.m_Considered,
+     V.m_RuledOut, V.m_Rule);
+}
+template <class A> void serialize(A &Ar, WorkClass &V) {
+  Ar(V.m_Workspace, V.m_Kind);
+}
+template <class A> void save(A &Ar, const Estimates &V) { Ar(V.runs()); }
+template <class A> void load(A &Ar, Estimates &V) {
+  std::map<WorkClass, std::vector<core::Duration>> Runs;
+  Ar(Runs);
+  V = Estimates(std::move(Runs));
+}
+
+} // namespace fireflydrift::placement
+
+namespace fireflydrift::control {
+
+template <class A> void serialize(A &Ar, AcceptJob &V) { Ar(V.m_Spec); }
+template <class A> void serialize(A &Ar, CancelJob &V) { Ar(V.m_Job); }
+template <class A> void serialize(A &Ar, ChangeConfiguration &V) {
+  Ar(V.m_Proposal);
+}
+template <class A> void serialize(A &Ar, AnnounceTarget &V) {
+  Ar(V.m_Announcement);
+}
+template <class A> void serialize(A &Ar, LeaveTarget &V) { Ar(V.m_Target); }
+template <class A> void serialize(A &Ar, LoseTarget &V) { Ar(V.m_Target); }
+template <class A> void serialize(A &Ar, PlaceJob &V) { Ar(V.m_Decision); }
+template <class A> void serialize(A &Ar, StartJob &V) {
+  Ar(V.m_Job, V.m_Attempt);
+}
+template <class A> void serialize(A &Ar, RefuseJob &V) {
+  Ar(V.m_Job, V.m_Attempt, V.m_MayHaveRun);
+}
+template <class A> void serialize(A &Ar, ReclaimFor &V) { Ar(V.m_Decision); }
+template <class A> void serialize(A &Ar, ConfirmStopped &V) {
+  Ar(V.m_Job, V.m_Attempt);
+}
+template <class A> void serialize(A &Ar, FinishTask &V) {
+  Ar(V.m_Job, V.m_Attempt, V.m_Task, V.m_Succeeded, V.m_Answer);
+}
+template <class A> void serialize(A &Ar, RejectJob &V) { Ar(V.m_Job, V.m_Why); }
+template <class A> void serialize(A &, ExpireJobs &) {}
+template <class A> void serialize(A &Ar, Batch &V) { Ar(V.m_At, V.m_Commands); }
+
+template <class A> void serialize(A &Ar, Submit &V) { Ar(V.m_Spec); }
+template <class A> void serialize(A &Ar, Fetch &V) { Ar(V.m_Job, V.m_Wait); }
+template <class A> void serialize(A &Ar, Cancel &V) { Ar(V.m_Job); }
+template <class A> void serialize(A &Ar, Explain &V) { Ar(V.m_Job); }
+template <class A> void serialize(A &Ar, Configure &V) { Ar(V.m_Proposal); }
+template <class A> void serialize(A &, ReadConfiguration &) {}
+template <class A> void serialize(A &, ReadStatus &) {}
+template <class A> void serialize(A &Ar, Announce &V) { Ar(V.m_Announcement); }
+template <class A> void serialize(A &Ar, TaskResult &V) {
+  Ar(V.m_Job, V.m_Attempt, V.m_Task, V.m_Succeeded, V.m_Answer);
+}
+template <class A> void serialize(A &Ar, ReportResults &V) {
+  Ar(V.m_Target, V.m_Results);
+}
+template <class A> void serialize(A &Ar, Leave &V) { Ar(V.m_Target); }
+
+template <class A> void serialize(A &, Acknowledged &) {}
+template <class A> void serialize(A &Ar, Failure &V) { Ar(V.m_Why); }
+template <class A> void serialize(A &Ar, JobView &V) {
+  Ar(V.m_Job, V.m_Phase, V.m_Reason, V.m_Attempt, V.m_MayHaveRun, V.m_Targets,
+     V.m_Answers);
+}
+template <class A> void serialize(A &Ar, DecisionsView &V) {
+  Ar(V.m_Decisions);
+}
+template <class A> void serialize(A &Ar, ConfigurationView &V) {
+  Ar(V.m_Fields, V.m_AcceptedAs);
+}
+template <class A> void serialize(A &Ar, VmStatus &V) {
+  Ar(V.m_Vm, V.m_Liveness, V.m_Role, V.m_ConfigurationVersion,
+     V.m_EntriesBehind, V.m_Behind);
+}
+template <class A> void serialize(A &Ar, StatusView &V) {
+  Ar(V.m_Leader, V.m_Term, V.m_Commit, V.m_ConfigurationVersion,
+     V.m_JobsByOutcome, V.m_ActiveTargets, V.m_QuarantinedTargets,
+     V.m_LostTargets, V.m_FreeAccelerators, V.m_Guarantees, V.m_Vms);
+}
+
+template <class A> void save(A &Ar, const Tables &V) {
+  std::vector<target::TargetFields> Targets;
+  for (const auto &[Id, Value] : V.m_Targets)
+    Targets.push_back(Value.fields());
+  std::vector<job::JobFields> Jobs;
+  for (const auto &[Key, Value] : V.m_Jobs)
+    Jobs.push_back(Value.fields());
+  Ar(V.m_Configuration, Targets, Jobs, V.m_Decisions, V.m_Estimates,
+     V.m_NextFence, V.m_At);
+}
+template <class A> void load(A &Ar, Tables &V) {
+  std::vector<target::TargetFields> Targets;
+  std::vector<job::JobFields> Jobs;
+  Ar(V.m_Configuration, Targets, Jobs, V.m_Decisions, V.m_Estimates,
+     V.m_NextFence, V.m_At);
+  for (target::TargetFields &Fields : Targets) {
+    core::TargetId Id = Fields.m_Announcement.m_Id;
+    V.m_Targets.emplace(std::move(Id),
+                        target::Target::restore(std::move(Fields)));
+  }
+  for (job::JobFields &Fields : Jobs) {
+    core::JobKey Key = Fields.m_Spec.m_Key;
+    V.m_Jobs.emplace(std::move(Key), job::Job::restore(std::move(Fields)));
+  }
+}
+
+} // namespace fireflydrift::control
+
+namespace fireflydrift::membership {
+
+template <class A> void serialize(A &Ar, Beat &V) {
+  Ar(V.m_From, V.m_ConfigurationVersion, V.m_Draining, V.m_Leader, V.m_Term,
+     V.m_HoldsLease);
+}
+
+} // namespace fireflydrift::membership
+
+namespace fireflydrift::routing {
+
+template <class A> void serialize(A &Ar, SignsSummary &V) {
+  Ar(V.m_Sequence, V.m_Full, V.m_Appeared, V.m_Vanished);
+}
+
+} // namespace fireflydrift::routing
+
+namespace fireflydrift::replica {
+
+template <class A> void serialize(A &Ar, Member &V) {
+  Ar(V.m_Incarnation, V.m_Region, V.m_FailureDomain, V.m_Voter);
+}
+template <class A> void save(A &Ar, const Members &V) { Ar(V.all()); }
+template <class A> void load(A &Ar, Members &V) {
+  std::map<core::VmId, Member> All;
+  Ar(All);
+  V = Members(std::move(All));
+}
+template <class A> void serialize(A &Ar, Entry &V) {
+  Ar(V.m_Index, V.m_Term, V.m_Commands, V.m_Members);
+}
+template <class A> void serialize(A &Ar, SnapshotPoint &V) {
+  Ar(V.m_Index, V.m_Term, V.m_Members);
+}
+template <class A> void serialize(A &Ar, HardState &V) {
+  Ar(V.m_Term, V.m_VotedFor, V.m_Incarnation, V.m_Joined);
+}
+template <class A> void serialize(A &Ar, VoteRequest &V) {
+  Ar(V.m_Term, V.m_PreVote, V.m_Transfer, V.m_LastIndex, V.m_LastTerm);
+}
+template <class A> void serialize(A &Ar, VoteReply &V) {
+  Ar(V.m_Term, V.m_PreVote, V.m_Granted, V.m_Incarnation);
+}
+template <class A> void serialize(A &Ar, Append &V) {
+  Ar(V.m_Term, V.m_PreviousIndex, V.m_PreviousTerm, V.m_Commit, V.m_SentAt,
+     V.m_Entries);
+}
+template <class A> void serialize(A &Ar, AppendReply &V) {
+  Ar(V.m_Term, V.m_Accepted, V.m_Match, V.m_Incarnation, V.m_SentAt);
+}
+template <class A> void serialize(A &Ar, InstallSnapshot &V) {
+  Ar(V.m_Term, V.m_Point, V.m_SentAt, V.m_State);
+}
+template <class A> void serialize(A &Ar, Hello &V) {
+  Ar(V.m_Incarnation, V.m_Region, V.m_FailureDomain);
+}
+template <class A> void serialize(A &Ar, HelloReply &V) {
+  Ar(V.m_Blank, V.m_Incarnation, V.m_Region, V.m_FailureDomain, V.m_Members);
+}
+template <class A> void serialize(A &Ar, TransferLeadership &V) {
+  Ar(V.m_Term);
+}
+
+} // namespace fireflydrift::replica
+
+namespace fireflydrift::messages {
+
+template <class A> void serialize(A &Ar, ForwardOperation &V) {
+  Ar(V.m_Id, V.m_Operation);
+}
+template <class A> void serialize(A &Ar, OperationReply &V) {
+  Ar(V.m_Id, V.m_Reply);
+}
+template <class A> void serialize(A &Ar, NotLeader &V) { Ar(V.m_Id); }
+template <class A> void serialize(A &Ar, TellSigns &V) { Ar(V.m_Summary); }
+template <class A> void serialize(A &, AskSigns &) {}
+template <class A> void serialize(A &Ar, ReplicaMessage &V) { Ar(V.m_Message); }
+template <class A> void serialize(A &Ar, Envelope &V) {
+  Ar(V.m_From, V.m_Body);
+}
+template <class A> void serialize(A &Ar, TruncateFrom &V) { Ar(V.m_Index); }
+template <class A> void serialize(A &Ar, JournalRecord &V) { Ar(V.m_Value); }
+template <class A> void serialize(A &Ar, SnapshotFile &V) {
+  Ar(V.m_Point, V.m_State);
+}
+
+} // namespace fireflydrift::messages
+
+#endif // FIREFLYDRIFT_MESSAGES_ARCHIVE_H
--- /dev/null
+++ b/packages/messages/codec.h
@@ -0,0 +1,109 @@
+// The binary encoding of what VMs send one another and keep on disk. Every
+// encoded value carries a format version and a checksum; a value that was
+// damaged on the way is refused, never half read.
+#ifndef FIREFLYDRIFT_MESSAGES_CODEC_H
+#define FIREFLYDRIFT_MESSAGES_CODEC_H
+
+#include "control/operation.h"
+#include "membership/membership.h"
+#include "replica/replica.h"
+#include "routing/signs.h"
+
+#include <string>
+#include <string_view>
+
+namespace fireflydrift::messages {
+
+// Largest encoded value, in bytes.
+inline constexpr std::size_t MaxEncodedBytes = 64 * 1024 * 1024;
+
+// ---- Between VMs -----------------------------------------------------------
+
+// An entry VM passes an operation to the leader.
+struct ForwardOperation {
+  std::uint64_t m_Id = 0;
+  control::Operation m_Operation;
+  friend bool operator==(const ForwardOperation &,
+                         const ForwardOperation &) = default;
+};
+struct OperationReply {
+  std::uint64_t m_Id = 0;
+  control::Reply m_Reply;
+  friend bool operator==(const OperationReply &,
+                         const OperationReply &) = default;
+};
+// The receiver of a forwarded operation does not lead.
+struct NotLeader {
+  std::uint64_t m_Id = 0;
+  friend bool operator==(const NotLeader &, const NotLeader &) = default;
+};
+struct TellSigns {
+  routing::SignsSummary m_Summary;
+  friend bool operator==(const TellSigns &, const TellSigns &) = default;
+};
+// The leader asks an entry VM for a full summary.
+struct AskSigns {
+  friend bool operator==(const AskSigns &, const AskSigns &) = default;
+};
+struct ReplicaMessage {
+  replica::Message m_Message;
+  friend bool operator==(const ReplicaMessage &,
+                         const ReplicaMessage &) = default;
+};
+
+using Body = std::variant<ReplicaMessage, ForwardOperation, OperationReply,
+                          NotLeader, TellSigns, AskSigns>;
+
+// One message from one VM to another.
+struct Envelope {
+  core::VmId m_From;
+  Body m_Body;
+  friend bool operator==(const Envelope &, const Envelope &) = default;
+};
+
+// ---- On disk ---------------------------------------------------------------
+
+struct TruncateFrom {
+  std::uint64_t m_Index = 0;
+  friend bool operator==(const TruncateFrom &, const TruncateFrom &) = default;
+};
+
+// One record of the journal.
+struct JournalRecord {
+  std::variant<replica::Entry, replica::HardState, TruncateFrom> m_Value;
+  friend bool operator==(const JournalRecord &,
+                         const JournalRecord &) = default;
+};
+
+// A snapshot file: the point of the log and the encoded tables as of it.
+struct SnapshotFile {
+  replica::SnapshotPoint m_Point;
+  std::string m_State;
+  friend bool operator==(const SnapshotFile &, const SnapshotFile &) = default;
+};
+
+// ---- Encoding --------------------------------------------------------------
+
+[[nodiscard]] std::string encode(const Envelope &Value);
+[[nodiscard]] std::string encode(const membership::Beat &Value);
+[[nodiscard]] std::string encode(const control::Batch &Value);
+[[nodiscard]] std::string encode(const control::Tables &Value);
+[[nodiscard]] std::string encode(const JournalRecord &Value);
+[[nodiscard]] std::string encode(const SnapshotFile &Value);
+
+// Decoders fail with Corrupt on a wrong checksum, an unknown format version,
+// or bytes that are missing or left over.
+[[nodiscard]] core::Outcome<Envelope> decodeEnvelope(std::string_view Bytes);
+[[nodiscard]] core::Outcome<membership::Beat>
+decodeBeat(std::string_view Bytes);
+[[nodiscard]] core::Outcome<control::Batch> decodeBatch(std::string_view Bytes);
+[[nodiscard]] core::Outcome<control::Tables>
+decodeTables(std::string_view Bytes);
+[[nodiscard]] core::Outcome<JournalRecord>
+decodeJournalRecord(std::string_view Bytes);
+[[nodiscard]] core::Outcome<SnapshotFile>
+decodeSnapshotFile(std::string_view Bytes);
+
+} // namespace fireflydrift::messages
+
+#endif // FIREFLYDRIFT_MESSAGES_CODEC_H
--- /dev/null
+++ b/packages/messages/json.cpp
@@ -0,0 +1,454 @@
+#include "messages/json.h"
+
+#include "messages/json_reader.h"
+
+namespace fireflydrift::messages {
+
+using impl::Json;
+using impl::ObjectReader;
+
+// ---- Parts -----------------------------------------------------------------
+
+static core::Capacity readCapacity(ObjectReader &In) {
+  return {.m_Accelerators = In.integer("accelerators", 0),
+          .m_Processors = In.integer("processors", 0),
+          .m_MemoryMb = In.integer("memory_mb", 0)};
+}
+
+static core::Adjacency readAdjacency(ObjectReader &In) {
+  std::string Text = In.text("adjacent", "", true);
+  if (Text == "preferred")
+    return core::Adjacency::Preferred;
+  if (Text == "true")
+    return core::Adjacency::Required;
+  if (!Text.empty() && Text != "false")
+    In.fail("adjacent", "must be true, false or \"preferred\"");
+  return core::Adjacency::None;
+}
+
+static core::Selector readSelector(ObjectReader &In) {
+  auto Parsed = core::Selector::parse(In.text("selector", ""));
+  if (!Parsed) {
+    In.fail("selector", Parsed.reason().m_Rule);
+    return {};
+  }
+  return *std::move(Parsed);
+}
+
+static core::Shape readShape(ObjectReader &In, core::Duration *RunTime) {
+  core::Shape Shape;
+  std::int64_t Tasks = In.integer("tasks", 1);
+  if (Tasks < 1 || Tasks > core::MaxGangTasks)
+    In.fail("tasks", "must be 1 to 64");
+  else
+    Shape.m_Tasks = static_cast<std::uint32_t>(Tasks);
+  Shape.m_Adjacency = readAdjacency(In);
+  auto ReadInto = [&](ObjectReader &From) {
+    Shape.m_PerTask = readCapacity(From);
+    if (RunTime)
+      *RunTime = core::Duration(From.integer("run_time_ms", RunTime->count()));
+  };
+  if (In.has("per_task")) {
+    ObjectReader PerTask = In.object("per_task");
+    ReadInto(PerTask);
+    In.take(PerTask);
+  } else {
+    // A single level is accepted as a shorthand.
+    ReadInto(In);
+  }
+  return Shape;
+}
+
+static Json writeCapacity(const core::Capacity &Value) {
+  return {{"accelerators", Value.m_Accelerators},
+          {"processors", Value.m_Processors},
+          {"memory_mb", Value.m_MemoryMb}};
+}
+
+static Json writeAdjacency(core::Adjacency Value) {
+  switch (Value) {
+  case core::Adjacency::Preferred:
+    return "preferred";
+  case core::Adjacency::Required:
+    return true;
+  case core::Adjacency::None:
+    break;
+  }
+  return false;
+}
+
+static core::JobKey readKey(ObjectReader &In) {
+  return {.m_Workspace = core::WorkspaceId(In.text("workspace")),
+          .m_Request = core::RequestId(In.text("id"))};
+}
+
+// ---- Jobs ------------------------------------------------------------------
+
+core::Outcome<job::JobSpec> decodeJobSpec(const std::string &Text) {
+  ObjectReader In = ObjectReader::parse(Text);
+  job::JobSpec Spec;
+  Spec.m_Key = readKey(In);
+  Spec.m_Shape = readShape(In, &Spec.m_RunTime);
+  Spec.m_Idempotent = In.boolean("idempotent", true);
+  Spec.m_Selector = readSelector(In);
+  Spec.m_Labels = core::Labels(In.texts("labels"));
+  Spec.m_Body = In.text("body", "");
+  core::Reason Why = In.finish();
+  if (Why.m_Code == core::ReasonCode::None)
+    Why = job::check(Spec);
+  if (Why.m_Code != core::ReasonCode::None)
+    return Why;
+  return Spec;
+}
+
+std::string encodeJobSpec(const job::JobSpec &Value) {
+  Json PerTask = writeCapacity(Value.m_Shape.m_PerTask);
+  PerTask["run_time_ms"] = Value.m_RunTime.count();
+  Json Out{{"workspace", Value.m_Key.m_Workspace.text()},
+           {"id", Value.m_Key.m_Request.text()},
+           {"tasks", Value.m_Shape.m_Tasks},
+           {"per_task", PerTask},
+           {"adjacent", writeAdjacency(Value.m_Shape.m_Adjacency)},
+           {"idempotent", Value.m_Idempotent},
+           {"selector", core::toString(Value.m_Selector)},
+           {"labels", Value.m_Labels.entries()},
+           {"body", Value.m_Body}};
+  return impl::write(Out);
+}
+
+// ---- Configuration ---------------------------------------------------------
+
+static workspace::Guarantee readGuarantee(ObjectReader &In) {
+  workspace::Guarantee Value;
+  Value.m_Name = In.text("name");
+  Value.m_Shape = readShape(In, nullptr);
+  Value.m_Selector = readSelector(In);
+  Value.m_ReclaimWithin = core::Duration(
+      In.integer("reclaim_within_ms", Value.m_ReclaimWithin.count()));
+  return Value;
+}
+
+static workspace::WorkspaceSpec readWorkspace(ObjectReader &In) {
+  workspace::WorkspaceSpec Spec;
+  Spec.m_Id = core::WorkspaceId(In.text("id"));
+  Spec.m_Quota = In.integer("quota", 0);
+  Spec.m_MayBorrow = In.integer("may_borrow", 0);
+  Spec.m_Weight = static_cast<std::uint32_t>(
+      In.integerUpTo("weight", 1, workspace::MaxWeight));
+  for (ObjectReader &Each : In.objects("guarantees")) {
+    Spec.m_Guarantees.push_back(readGuarantee(Each));
+    In.take(Each);
+  }
+  return Spec;
+}
+
+static configuration::Limits readLimits(ObjectReader &In) {
+  configuration::Limits Value;
+  constexpr std::int64_t MostQueued = 1000000;
+  Value.m_QueuedPerWorkspace = static_cast<std::uint32_t>(In.integerUpTo(
+      "queued_per_workspace", Value.m_QueuedPerWorkspace, MostQueued));
+  Value.m_ShortReserve = In.integer("short_reserve", Value.m_ShortReserve);
+  Value.m_ShortRunTime = core::Duration(
+      In.integer("short_run_time_ms", Value.m_ShortRunTime.count()));
+  Value.m_Retention =
+      core::Duration(In.integer("retention_ms", Value.m_Retention.count()));
+  return Value;
+}
+
+core::Outcome<configuration::Proposal> decodeProposal(const std::string &Text) {
+  ObjectReader In = ObjectReader::parse(Text);
+  configuration::Proposal Value;
+  Value.m_Operation = core::OperationId(In.text("operation"));
+  Value.m_Replaces = static_cast<std::uint64_t>(In.integer("replaces", 0));
+  for (ObjectReader &Each : In.objects("workspaces")) {
+    Value.m_Workspaces.push_back(readWorkspace(Each));
+    In.take(Each);
+  }
+  if (In.has("limits")) {
+    ObjectReader Limits = In.object("limits");
+    Value.m_Limits = readLimits(Limits);
+    In.take(Limits);
+  }
+  core::Reason Why = In.finish();
+  if (Why.m_Code != core::ReasonCode::None)
+    return Why;
+  return Value;
+}
+
+static Json writeGuarantee(const workspace::Guarantee &Value) {
+  return {{"name", Value.m_Name},
+          {"tasks", Value.m_Shape.m_Tasks},
+          {"per_task", writeCapacity(Value.m_Shape.m_PerTask)},
+          {"adjacent", writeAdjacency(Value.m_Shape.m_Adjacency)},
+          {"selector", core::toString(Value.m_Selector)},
+          {"reclaim_within_ms", Value.m_ReclaimWithin.count()}};
+}
+
+static Json writeWorkspace(const workspace::WorkspaceSpec &Value) {
+  Json Guarantees = Json::array();
+  for (const workspace::Guarantee &Each : Value.m_Guarantees)
+    Guarantees.push_back(writeGuarantee(Each));
+  return {{"id", Value.m_Id.text()},
+          {"quota", Value.m_Quota},
+          {"may_borrow", Value.m_MayBorrow},
+          {"weight", Value.m_Weight},
+          {"guarantees", std::move(Guarantees)}};
+}
+
+static Json writeLimits(const configuration::Limits &Value) {
+  return {{"queued_per_workspace", Value.m_QueuedPerWorkspace},
+          {"short_reserve", Value.m_ShortReserve},
+          {"short_run_time_ms", Value.m_ShortRunTime.count()},
+          {"retention_ms", Value.m_Retention.count()}};
+}
+
+// ---- Targets ---------------------------------------------------------------
+
+core::Outcome<target::Announcement>
+decodeAnnouncement(const std::string &Text) {
+  ObjectReader In = ObjectReader::parse(Text);
+  target::Announcement Value;
+  constexpr std::int64_t MostPorts = 65535;
+  Value.m_Id = core::TargetId(In.text("id"));
+  Value.m_Host = In.text("host");
+  Value.m_Port =
+      static_cast<std::uint16_t>(In.integerUpTo("port", 0, MostPorts));
+  Value.m_Incarnation =
+      static_cast<std::uint64_t>(In.integer("incarnation", 0));
+  Value.m_Region = In.text("region");
+  Value.m_FailureDomain = In.text("failure_domain");
+  Value.m_Rack = In.text("rack");
+  Value.m_Labels = core::Labels(In.texts("labels"));
+  ObjectReader Capacity = In.object("capacity");
+  Value.m_Capacity = readCapacity(Capacity);
+  In.take(Capacity);
+  core::Reason Why = In.finish();
+  if (Why.m_Code != core::ReasonCode::None)
+    return Why;
+  return Value;
+}
+
+std::string encodeAnnouncement(const target::Announcement &Value) {
+  Json Out{{"id", Value.m_Id.text()},
+           {"host", Value.m_Host},
+           {"port", Value.m_Port},
+           {"incarnation", Value.m_Incarnation},
+           {"region", Value.m_Region},
+           {"failure_domain", Value.m_FailureDomain},
+           {"rack", Value.m_Rack},
+           {"labels", Value.m_Labels.entries()},
+           {"capacity", writeCapacity(Value.m_Capacity)}};
+  return impl::write(Out);
+}
+
+static control::TaskResult readResult(ObjectReader &In) {
+  control::TaskResult Value;
+  Value.m_Job = readKey(In);
+  Value.m_Attempt = In.index("attempt");
+  Value.m_Task = In.index("task");
+  Value.m_Succeeded = In.boolean("succeeded", true);
+  Value.m_Answer = In.text("answer", "");
+  if (Value.m_Answer.size() > job::MaxBodyBytes)
+    In.fail("answer", "at most 262144 bytes");
+  return Value;
+}
+
+core::Outcome<Report> decodeReport(const std::string &Text) {
+  ObjectReader In = ObjectReader::parse(Text);
+  Report Value;
+  Value.m_Incarnation =
+      static_cast<std::uint64_t>(In.integer("incarnation", 0));
+  for (ObjectReader &Each : In.objects("results")) {
+    Value.m_Results.push_back(readResult(Each));
+    In.take(Each);
+  }
+  core::Reason Why = In.finish();
+  if (Why.m_Code != core::ReasonCode::None)
+    return Why;
+  return Value;
+}
+
+std::string encodeReport(const Report &Value) {
+  Json Results = Json::array();
+  for (const control::TaskResult &Each : Value.m_Results)
+    Results.push_back({{"workspace", Each.m_Job.m_Workspace.text()},
+                       {"id", Each.m_Job.m_Request.text()},
+                       {"attempt", Each.m_Attempt},
+                       {"task", Each.m_Task},
+                       {"succeeded", Each.m_Succeeded},
+                       {"answer", Each.m_Answer}});
+  return impl::write(
+      Json{{"incarnation", Value.m_Incarnation}, {"results", Results}});
+}
+
+std::string encodeReportReply(const ReportReply &Value) {
+  return impl::write(Json{{"outcome", "acknowledged"},
+                          {"known", Value.m_Known},
+                          {"lease_ms", Value.m_Lease.count()}});
+}
+
+core::Outcome<ReportReply> decodeReportReply(const std::string &Text) {
+  ObjectReader In = ObjectReader::parse(Text);
+  (void)In.text("outcome", "");
+  ReportReply Value{.m_Known = In.boolean("known", false),
+                    .m_Lease = core::Duration(In.integer("lease_ms", 0))};
+  core::Reason Why = In.finish();
+  if (Why.m_Code != core::ReasonCode::None)
+    return Why;
+  return Value;
+}
+
+// ---- Calls to targets ------------------------------------------------------
+
+std::string encodeCall(const control::Call &Value) {
+  Json Out{{"workspace", Value.m_Lease.m_Job.m_Workspace.text()},
+           {"id", Value.m_Lease.m_Job.m_Request.text()},
+           {"attempt", Value.m_Lease.m_Attempt},
+           {"fence", Value.m_Lease.m_Fence},
+           {"tasks", Value.m_Tasks},
+           {"per_task", writeCapacity(Value.m_PerTask)},
+           {"lease_ms", Value.m_LeaseLength.count()},
+           {"checkpoint", Value.m_Checkpoint}};
+  if (Value.m_Verb == control::Verb::Start)
+    Out["body"] = Value.m_Body;
+  return impl::write(Out);
+}
+
+core::Outcome<control::Call> decodeCall(const std::string &Text) {
+  ObjectReader In = ObjectReader::parse(Text);
+  control::Call Value;
+  Value.m_Lease.m_Job = readKey(In);
+  Value.m_Lease.m_Attempt = In.index("attempt");
+  Value.m_Lease.m_Fence = static_cast<std::uint64_t>(In.integer("fence", 0));
+  Value.m_Tasks = In.indexes("tasks");
+  ObjectReader PerTask = In.object("per_task");
+  Value.m_PerTask = readCapacity(PerTask);
+  In.take(PerTask);
+  Value.m_LeaseLength = core::Duration(In.integer("lease_ms", 0));
+  Value.m_Checkpoint = In.boolean("checkpoint", false);
+  Value.m_Body = In.text("body", "");
+  core::Reason Why = In.finish();
+  if (Why.m_Code != core::ReasonCode::None)
+    return Why;
+  return Value;
+}
+
+std::string encodeCallOutcome(control::CallOutcome Value) {
+  return impl::write(Json{{"outcome", control::toString(Value)}});
+}
+
+control::CallOutcome decodeCallOutcome(const std::string &Text) {
+  ObjectReader In = ObjectReader::parse(Text);
+  std::string Said = In.text("outcome", "");
+  for (auto Known :
+       {control::CallOutcome::Accepted, control::CallOutcome::Refused,
+        control::CallOutcome::UnknownLease})
+    if (Said == control::toString(Known))
+      return Known;
+  return control::CallOutcome::NoAnswer;
+}
+
+// ---- Replies ---------------------------------------------------------------
+
+static void addReason(Json &Out, const core::Reason &Why) {
+  if (Why.m_Code == core::ReasonCode::None)
+    return;
+  Out["reason"] = {{"code", core::toString(Why.m_Code)},
+                   {"field", Why.m_Field},
+                   {"rule", Why.m_Rule}};
+}
+
+static Json writeIds(const std::vector<core::TargetId> &Ids) {
+  Json Out = Json::array();
+  for (const core::TargetId &Id : Ids)
+    Out.push_back(Id.text());
+  return Out;
+}
+
+static Json writeOne(const control::Acknowledged &) {
+  return {{"outcome", "acknowledged"}};
+}
+
+static Json writeOne(const control::JobView &Value) {
+  Json Out{{"outcome", job::outcomeName(Value.m_Phase)},
+           {"workspace", Value.m_Job.m_Workspace.text()},
+           {"id", Value.m_Job.m_Request.text()},
+           {"attempt", Value.m_Attempt},
+           {"may_have_run", Value.m_MayHaveRun},
+           {"targets", writeIds(Value.m_Targets)}};
+  if (Value.m_Phase == job::Phase::Answered)
+    Out["answers"] = Value.m_Answers;
+  addReason(Out, Value.m_Reason);
+  return Out;
+}
+
+static Json writeOne(const control::DecisionsView &Value) {
+  Json Decisions = Json::array();
+  for (const placement::Decision &Each : Value.m_Decisions) {
+    Json Victims = Json::array();
+    for (const core::JobKey &Key : Each.m_Victims)
+      Victims.push_back(core::toString(Key));
+    Decisions.push_back({{"at_ms", core::toMs(Each.m_At)},
+                         {"verdict", placement::toString(Each.m_Verdict)},
+                         {"considered", Each.m_Considered},
+                         {"ruled_out", Each.m_RuledOut},
+                         {"rule", Each.m_Rule},
+                         {"targets", writeIds(Each.m_Targets)},
+                         {"victims", Victims},
+                         {"text", placement::toString(Each)}});
+  }
+  return {{"outcome", "decisions"}, {"decisions", std::move(Decisions)}};
+}
+
+static Json writeOne(const control::ConfigurationView &Value) {
+  Json Workspaces = Json::array();
+  for (const workspace::WorkspaceSpec &Each : Value.m_Fields.m_Workspaces)
+    Workspaces.push_back(writeWorkspace(Each));
+  Json Out{{"outcome", "configuration"},
+           {"version", Value.m_Fields.m_Version},
+           {"operation", Value.m_Fields.m_Operation.text()},
+           {"workspaces", std::move(Workspaces)},
+           {"limits", writeLimits(Value.m_Fields.m_Limits)}};
+  if (Value.m_AcceptedAs != 0)
+    Out["accepted_as"] = Value.m_AcceptedAs;
+  return Out;
+}
+
+static Json writeOne(const control::StatusView &Value) {
+  Json Vms = Json::array();
+  for (const control::VmStatus &Each : Value.m_Vms)
+    Vms.push_back({{"vm", Each.m_Vm.text()},
+                   {"liveness", Each.m_Liveness},
+                   {"role", Each.m_Role},
+                   {"configuration_version", Each.m_ConfigurationVersion},
+                   {"entries_behind", Each.m_EntriesBehind},
+                   {"behind", Each.m_Behind}});
+  return {{"outcome", "status"},
+          {"leader", Value.m_Leader.text()},
+          {"term", Value.m_Term},
+          {"commit", Value.m_Commit},
+          {"configuration_version", Value.m_ConfigurationVersion},
+          {"jobs", Value.m_JobsByOutcome},
+          {"active_targets", Value.m_ActiveTargets},
+          {"quarantined_targets", Value.m_QuarantinedTargets},
+          {"lost_targets", Value.m_LostTargets},
+          {"free_accelerators", Value.m_FreeAccelerators},
+          {"guarantees", Value.m_Guarantees},
+          {"vms", std::move(Vms)}};
+}
+
+static Json writeOne(const control::Failure &Value) {
+  // A refused request was not accepted, so it did not run. Where that is not
+  // certain, the outcome is unknown.
+  bool Uncertain = Value.m_Why.m_Code == core::ReasonCode::Unavailable;
+  Json Out{{"outcome", Uncertain ? "unknown" : "not_run"}};
+  addReason(Out, Value.m_Why);
+  return Out;
+}
+
+std::string encodeReply(const control::Reply &Value) {
+  return impl::write(
+      std::visit([](const auto &Typed) { return writeOne(Typed); }, Value));
+}
+
+} // namespace fireflydrift::messages
--- /dev/null
+++ b/packages/placement/fleet.cpp
@@ -0,0 +1,97 @@
+#include "placement/fleet.h"
+
+#include <algorithm>
+
+namespace fireflydrift::placement {
+
+const Slot *Fleet::find(const core::TargetId &Id) const {
+  auto Found = m_Slots.find(Id);
+  return Found == m_Slots.end() ? nullptr : &Found->second;
+}
+
+std::int64_t Fleet::used(const core::WorkspaceId &Id) const {
+  auto Found = m_Used.find(Id);
+  return Found == m_Used.end() ? 0 : Found->second;
+}
+
+std::int64_t Fleet::freeAccelerators() const noexcept {
+  std::int64_t Free = 0;
+  for (const auto &[Id, Value] : m_Slots)
+    if (Value.m_Target.presence() == target::Presence::Active)
+      Free += std::max<std::int64_t>(Value.free().m_Accelerators, 0);
+  return Free;
+}
+
+Fleet Fleet::withTarget(const target::Target &Value) && {
+  auto Found = m_Slots.find(Value.id());
+  if (Found == m_Slots.end())
+    m_Slots.emplace(Value.id(), Slot{.m_Target = Value});
+  else
+    Found->second.m_Target = Value;
+  return std::move(*this);
+}
+
+Fleet Fleet::withoutTarget(const core::TargetId &Id) && {
+  m_Slots.erase(Id);
+  return std::move(*this);
+}
+
+std::map<core::TargetId, std::uint32_t>
+tasksByTarget(const std::vector<core::TargetId> &Targets) {
+  std::map<core::TargetId, std::uint32_t> Tasks;
+  for (const core::TargetId &Id : Targets)
+    ++Tasks[Id];
+  return Tasks;
+}
+
+std::vector<core::TargetId> targetsOf(const job::Job &Value) {
+  std::vector<core::TargetId> Targets;
+  for (const job::Member &Each : Value.fields().m_Members)
+    Targets.push_back(Each.m_Target);
+  return Targets;
+}
+
+Fleet Fleet::occupied(const job::Job &Value, core::Time ExpectedEnd) && {
+  const core::Shape &Shape = Value.spec().m_Shape;
+  for (const auto &[Id, Tasks] : tasksByTarget(targetsOf(Value))) {
+    auto Found = m_Slots.find(Id);
+    if (Found == m_Slots.end())
+      continue;
+    core::Capacity Amount = Shape.m_PerTask * Tasks;
+    Found->second.m_Used = Found->second.m_Used + Amount;
+    Found->second.m_Occupants.push_back(
+        {.m_Job = Value.key(),
+         .m_Capacity = Amount,
+         .m_Reclaimable = Value.isReclaimable(),
+         .m_Stopping = Value.phase() == job::Phase::Stopping,
+         .m_Checkpoints =
+             Value.spec().m_Labels.find(job::CheckpointLabel) != nullptr,
+         .m_Reclaims = Value.fields().m_Reclaims,
+         .m_StartedAt = Value.fields().m_StartedAt,
+         .m_ExpectedEnd = ExpectedEnd});
+  }
+  m_Used[Value.key().m_Workspace] += Shape.total().m_Accelerators;
+  return std::move(*this);
+}
+
+Fleet Fleet::released(const job::Job &Value) && {
+  const core::Shape &Shape = Value.spec().m_Shape;
+  for (const auto &[Id, Tasks] : tasksByTarget(targetsOf(Value))) {
+    auto Found = m_Slots.find(Id);
+    if (Found == m_Slots.end())
+      continue;
+    Found->second.m_Used = Found->second.m_Used - Shape.m_PerTask * Tasks;
+    std::erase_if(Found->second.m_Occupants, [&](const Occupant &Each) {
+      return Each.m_Job == Value.key();
+    });
+  }
+  auto Used = m_Used.find(Value.key().m_Workspace);
+  if (Used != m_Used.end()) {
+    Used->second -= Shape.total().m_Accelerators;
+    if (Used->second <= 0)
+      m_Used.erase(Used);
+  }
+  return std::move(*this);
+}
+
+} // namespace fireflydrift::placement
--- /dev/null
+++ b/packages/placement/witness.cpp
@@ -0,0 +1,204 @@
+#include "placement/witness.h"
+
+#include <algorithm>
+
+namespace fireflydrift::placement {
+
+// Work that can't be stopped may stay on a witness only when this many times
+// its expected run time fits into the guarantee's deadline.
+static constexpr int EndMargin = 4;
+
+bool endsWithin(core::Duration RunTime, core::Duration ReclaimWithin) noexcept {
+  return RunTime * EndMargin <= ReclaimWithin;
+}
+
+core::Capacity reclaimable(const Slot &Value, const core::WorkspaceId &Owner,
+                           core::Duration ReclaimWithin, core::Time Now) {
+  core::Capacity Amount = Value.m_Target.announcement().m_Capacity;
+  for (const Occupant &Each : Value.m_Occupants) {
+    bool Fixed = Each.m_Job.m_Workspace != Owner && !Each.m_Reclaimable &&
+                 Each.m_ExpectedEnd > Now + ReclaimWithin;
+    if (Fixed)
+      Amount = Amount - Each.m_Capacity;
+  }
+  return Amount;
+}
+
+namespace {
+
+using Claims = std::map<core::TargetId, core::Capacity>;
+
+struct Need {
+  GuaranteeKey m_Key;
+  const workspace::Guarantee *m_Guarantee = nullptr;
+};
+
+// How often the shape's task fits on one target.
+struct Room {
+  const Slot *m_Slot = nullptr;
+  std::uint32_t m_Tasks = 0;
+};
+
+} // namespace
+
+static void addClaims(Claims &All, const Witness &Value) {
+  for (const auto &[Id, Tasks] : Value.m_Tasks)
+    All[Id] = All[Id] + Value.m_PerTask * Tasks;
+}
+
+static core::Capacity roomOn(const Slot &Value, const Need &For,
+                             const Claims &Taken, core::Time Now) {
+  core::Capacity Amount = reclaimable(Value, For.m_Key.m_Workspace,
+                                      For.m_Guarantee->m_ReclaimWithin, Now);
+  auto Claimed = Taken.find(Value.m_Target.id());
+  return Claimed == Taken.end() ? Amount : Amount - Claimed->second;
+}
+
+static bool stillHolds(const Witness &Value, const Need &For, const Fleet &All,
+                       const Claims &Taken, core::Time Now) {
+  std::uint32_t Total = 0;
+  for (const auto &[Id, Tasks] : Value.m_Tasks) {
+    const Slot *Found = All.find(Id);
+    bool Holds =
+        Found && Found->m_Target.takesWork(Now) &&
+        For.m_Guarantee->m_Selector.matches(
+            Found->m_Target.announcement().m_Labels) &&
+        roomOn(*Found, For, Taken, Now).covers(Value.m_PerTask * Tasks);
+    if (!Holds)
+      return false;
+    Total += Tasks;
+  }
+  return Total == For.m_Guarantee->m_Shape.m_Tasks &&
+         Value.m_PerTask == For.m_Guarantee->m_Shape.m_PerTask;
+}
+
+// Takes tasks from the fullest rooms first, so that few targets are used.
+static std::map<core::TargetId, std::uint32_t> take(std::vector<Room> Rooms,
+                                                    std::uint32_t Tasks) {
+  std::stable_sort(
+      Rooms.begin(), Rooms.end(),
+      [](const Room &A, const Room &B) { return A.m_Tasks > B.m_Tasks; });
+  std::map<core::TargetId, std::uint32_t> Taken;
+  for (const Room &Each : Rooms) {
+    std::uint32_t Here = std::min(Each.m_Tasks, Tasks);
+    if (Here == 0)
+      break;
+    Taken[Each.m_Slot->m_Target.id()] = Here;
+    Tasks -= Here;
+  }
+  if (Tasks > 0)
+    Taken.clear();
+  return Taken;
+}
+
+static std::uint32_t totalTasks(const std::vector<Room> &Rooms) {
+  std::uint64_t Total = 0;
+  for (const Room &Each : Rooms)
+    Total += Each.m_Tasks;
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(Total, core::MaxGangTasks));
+}
+
+static std::map<core::TargetId, std::uint32_t> findPlace(const Need &For,
+                                                         const Fleet &All,
+                                                         const Claims &Taken,
+                                                         core::Time Now) {
+  const core::Shape &Shape = For.m_Guarantee->m_Shape;
+  std::map<std::string, std::vector<Room>> Racks;
+  std::vector<Room> Everywhere;
+  for (const auto &[Id, Value] : All.slots()) {
+    const target::Announcement &Said = Value.m_Target.announcement();
+    if (!Value.m_Target.takesWork(Now) ||
+        !For.m_Guarantee->m_Selector.matches(Said.m_Labels))
+      continue;
+    Room Here{.m_Slot = &Value,
+              .m_Tasks = std::min(
+                  roomOn(Value, For, Taken, Now).count(Shape.m_PerTask),
+                  core::MaxGangTasks)};
+    if (Here.m_Tasks == 0)
+      continue;
+    Racks[Said.m_Rack].push_back(Here);
+    Everywhere.push_back(Here);
+  }
+  const std::vector<Room> *Best = nullptr;
+  for (const auto &[Rack, Rooms] : Racks) {
+    if (totalTasks(Rooms) < Shape.m_Tasks)
+      continue;
+    if (!Best || Rooms.size() < Best->size())
+      Best = &Rooms;
+  }
+  if (Shape.m_Adjacency != core::Adjacency::None && Best)
+    return take(*Best, Shape.m_Tasks);
+  if (Shape.m_Adjacency == core::Adjacency::Required)
+    return {};
+  return take(std::move(Everywhere), Shape.m_Tasks);
+}
+
+static std::vector<Need>
+needsBySize(const configuration::Configuration &Current) {
+  std::vector<Need> Needs;
+  for (const auto &[Id, Value] : Current.workspaces())
+    for (const workspace::Guarantee &Each : Value.spec().m_Guarantees)
+      Needs.push_back({.m_Key = {.m_Workspace = Id, .m_Name = Each.m_Name},
+                       .m_Guarantee = &Each});
+  auto Size = [](const Need &Value) {
+    const core::Shape &Shape = Value.m_Guarantee->m_Shape;
+    return std::pair(Shape.m_Adjacency, Shape.total().m_Accelerators);
+  };
+  std::stable_sort(
+      Needs.begin(), Needs.end(),
+      [&](const Need &A, const Need &B) { return Size(A) > Size(B); });
+  return Needs;
+}
+
+Witnesses assign(const Fleet &Value,
+                 const configuration::Configuration &Current,
+                 const Witnesses &Previous, core::Time Now) {
+  Witnesses Next;
+  Claims Taken;
+  std::vector<Need> Open;
+  std::vector<Need> Needs = needsBySize(Current);
+  for (const Need &Each : Needs) {
+    auto Old = Previous.m_Found.find(Each.m_Key);
+    if (Old == Previous.m_Found.end() ||
+        !stillHolds(Old->second, Each, Value, Taken, Now)) {
+      Open.push_back(Each);
+      continue;
+    }
+    Witness Kept = Old->second;
+    Kept.m_ReclaimWithin = Each.m_Guarantee->m_ReclaimWithin;
+    addClaims(Taken, Kept);
+    Next.m_Found.emplace(Each.m_Key, std::move(Kept));
+  }
+  for (const Need &Each : Open) {
+    Witness Found{.m_Guarantee = Each.m_Key,
+                  .m_Tasks = findPlace(Each, Value, Taken, Now),
+                  .m_PerTask = Each.m_Guarantee->m_Shape.m_PerTask,
+                  .m_ReclaimWithin = Each.m_Guarantee->m_ReclaimWithin};
+    if (Found.m_Tasks.empty()) {
+      Next.m_Missing.push_back(Each.m_Key);
+      continue;
+    }
+    addClaims(Taken, Found);
+    Next.m_Found.emplace(Each.m_Key, std::move(Found));
+  }
+  // Kept witnesses may stand in the way of a shape that fits otherwise.
+  if (!Next.m_Missing.empty() && !Previous.m_Found.empty()) {
+    Witnesses Fresh = assign(Value, Current, {}, Now);
+    if (Fresh.m_Missing.size() < Next.m_Missing.size())
+      return Fresh;
+  }
+  return Next;
+}
+
+std::map<core::TargetId, core::Capacity>
+claimsAgainst(const Witnesses &Value, const core::WorkspaceId &Owner,
+              core::Duration RunTime) {
+  Claims Against;
+  for (const auto &[Key, Each] : Value.m_Found)
+    if (Key.m_Workspace != Owner && !endsWithin(RunTime, Each.m_ReclaimWithin))
+      addClaims(Against, Each);
+  return Against;
+}
+
+} // namespace fireflydrift::placement
--- /dev/null
+++ b/packages/routing/admission.cpp
@@ -0,0 +1,39 @@
+#include "routing/admission.h"
+
+namespace fireflydrift::routing {
+
+core::Reason check(const Admission &Current, const AdmissionOptions &Options,
+                   const core::WorkspaceId &Id, core::Time Now) {
+  if (Current.m_Draining)
+    return {core::ReasonCode::Unavailable, "", "this VM is shutting down"};
+  if (Now - Current.m_LeaderHeardAt > Options.m_LeaderWithin)
+    return {core::ReasonCode::Unavailable, "",
+            "no leader is known; the request was not accepted"};
+  if (Current.m_Total >= Options.m_MaxHeld)
+    return {core::ReasonCode::Overloaded, "",
+            "this VM holds as many requests as it may"};
+  auto Held = Current.m_Held.find(Id);
+  std::uint32_t Share = Options.m_MaxHeld * Options.m_WorkspacePercent / 100;
+  if (Held != Current.m_Held.end() && Held->second >= Share)
+    return {core::ReasonCode::Overloaded, "workspace",
+            "holds its share of this VM's requests"};
+  return {};
+}
+
+Admission taken(Admission Before, const core::WorkspaceId &Id) {
+  ++Before.m_Held[Id];
+  ++Before.m_Total;
+  return Before;
+}
+
+Admission finished(Admission Before, const core::WorkspaceId &Id) {
+  auto Held = Before.m_Held.find(Id);
+  if (Held == Before.m_Held.end())
+    return Before;
+  --Before.m_Total;
+  if (--Held->second == 0)
+    Before.m_Held.erase(Held);
+  return Before;
+}
+
+} // namespace fireflydrift::routing
--- /dev/null
+++ b/packages/routing/forward_declarations.h
@@ -0,0 +1,15 @@
+// Names of the routing types.
+#ifndef FIREFLYDRIFT_ROUTING_FORWARD_DECLARATIONS_H
+#define FIREFLYDRIFT_ROUTING_FORWARD_DECLARATIONS_H
+
+namespace fireflydrift::routing {
+
+struct Admission;
+struct EntrySigns;
+struct Forwarding;
+struct LeaderSigns;
+struct RetryBudget;
+
+} // namespace fireflydrift::routing
+
+#endif // FIREFLYDRIFT_ROUTING_FORWARD_DECLARATIONS_H
--- /dev/null
+++ b/packages/routing/forwarding.cpp
@@ -0,0 +1,68 @@
+#include "routing/forwarding.h"
+
+namespace fireflydrift::routing {
+
+Forwarding added(Forwarding Before, std::uint64_t Id, core::Time Deadline,
+                 core::Time Now) {
+  Before.m_Pending.emplace(Id,
+                           Pending{.m_Deadline = Deadline, .m_NextAt = Now});
+  return Before;
+}
+
+Forwarding removed(Forwarding Before, std::uint64_t Id) {
+  Before.m_Pending.erase(Id);
+  return Before;
+}
+
+Forwarding bounced(Forwarding Before, std::uint64_t Id,
+                   const RetryOptions &Options, core::Time Now) {
+  auto Found = Before.m_Pending.find(Id);
+  if (Found == Before.m_Pending.end())
+    return Before;
+  Found->second.m_SentTo = {};
+  Found->second.m_NextAt = Now + backOff(Options, Id, 1);
+  return Before;
+}
+
+static bool isDue(const Pending &Value, const core::VmId &Leader,
+                  core::Time Now) {
+  if (Leader.empty())
+    return false;
+  bool LeaderChanged = !Value.m_SentTo.empty() && Value.m_SentTo != Leader;
+  return LeaderChanged || Now >= Value.m_NextAt;
+}
+
+ForwardingStep due(Forwarding Before, const core::VmId &Leader,
+                   const RetryOptions &Options, core::Time Now) {
+  ForwardingStep Out;
+  for (auto &[Id, Value] : Before.m_Pending) {
+    if (Now >= Value.m_Deadline) {
+      Out.m_Expired.push_back(Id);
+      continue;
+    }
+    if (!isDue(Value, Leader, Now))
+      continue;
+    if (Value.m_Tries == 0) {
+      Before.m_Budget = afterFirstTry(Before.m_Budget, Options);
+    } else {
+      auto Left = afterRetry(Before.m_Budget);
+      if (!Left) {
+        Value.m_NextAt = Now + backOff(Options, Id, Value.m_Tries);
+        // Another leader still gets it once the budget allows.
+        Value.m_SentTo = {};
+        continue;
+      }
+      Before.m_Budget = *Left;
+    }
+    ++Value.m_Tries;
+    Value.m_SentTo = Leader;
+    Value.m_NextAt = Now + backOff(Options, Id, Value.m_Tries);
+    Out.m_Send.push_back(Id);
+  }
+  for (std::uint64_t Id : Out.m_Expired)
+    Before.m_Pending.erase(Id);
+  Out.m_Forwarding = std::move(Before);
+  return Out;
+}
+
+} // namespace fireflydrift::routing
--- /dev/null
+++ b/packages/routing/forwarding.h
@@ -0,0 +1,55 @@
+// Operations on their way from an entry VM to the leader.
+#ifndef FIREFLYDRIFT_ROUTING_FORWARDING_H
+#define FIREFLYDRIFT_ROUTING_FORWARDING_H
+
+#include "core/ids.h"
+#include "routing/retry.h"
+
+#include <map>
+#include <vector>
+
+namespace fireflydrift::routing {
+
+// One operation that has no reply yet. Every operation is idempotent, so it
+// may be sent again to the same leader or to another.
+struct Pending {
+  core::Time m_Deadline;
+  core::Time m_NextAt;
+  std::uint32_t m_Tries = 0;
+  core::VmId m_SentTo;
+
+  friend bool operator==(const Pending &, const Pending &) = default;
+  friend auto operator<=>(const Pending &, const Pending &) = default;
+};
+
+struct Forwarding {
+  std::map<std::uint64_t, Pending> m_Pending;
+  RetryBudget m_Budget;
+
+  friend bool operator==(const Forwarding &, const Forwarding &) = default;
+};
+
+// What to do now: operations to send to the leader, and operations whose
+// deadline is over.
+struct ForwardingStep {
+  Forwarding m_Forwarding;
+  std::vector<std::uint64_t> m_Send;
+  std::vector<std::uint64_t> m_Expired;
+
+  friend bool operator==(const ForwardingStep &,
+                         const ForwardingStep &) = default;
+};
+
+[[nodiscard]] Forwarding added(Forwarding Before, std::uint64_t Id,
+                               core::Time Deadline, core::Time Now);
+[[nodiscard]] Forwarding removed(Forwarding Before, std::uint64_t Id);
+// The receiver does not lead; the operation waits for a leader to be known.
+[[nodiscard]] Forwarding bounced(Forwarding Before, std::uint64_t Id,
+                                 const RetryOptions &Options, core::Time Now);
+// Leader is empty while none is known.
+[[nodiscard]] ForwardingStep due(Forwarding Before, const core::VmId &Leader,
+                                 const RetryOptions &Options, core::Time Now);
+
+} // namespace fireflydrift::routing
+
+#endif // FIREFLYDRIFT_ROUTING_FORWARDING_H
--- /dev/null
+++ b/packages/routing/signs.cpp
@@ -0,0 +1,86 @@
+#include "routing/signs.h"
+
+#include <algorithm>
+
+namespace fireflydrift::routing {
+
+// ---- At the entry VM -------------------------------------------------------
+
+EntrySigns heard(EntrySigns Before, const core::TargetId &Id, core::Time Now) {
+  core::Time &At = Before.m_HeardAt[Id];
+  At = std::max(At, Now);
+  return Before;
+}
+
+bool summaryIsDue(const EntrySigns &Current, const SignsOptions &Options,
+                  core::Time Now) {
+  return Now - Current.m_SummaryAt >= Options.m_SummaryEvery;
+}
+
+Summarised summarise(EntrySigns Before, const SignsOptions &Options, bool Full,
+                     core::Time Now) {
+  Summarised Out;
+  std::erase_if(Before.m_HeardAt, [&](const auto &Each) {
+    return Now - Each.second >= Options.m_GoneAfter;
+  });
+  if (Full)
+    Before.m_Told.clear();
+  for (const auto &[Id, At] : Before.m_HeardAt)
+    if (Before.m_Told.insert(Id).second)
+      Out.m_Summary.m_Appeared.push_back(Id);
+  std::erase_if(Before.m_Told, [&](const core::TargetId &Id) {
+    bool Gone = !Before.m_HeardAt.contains(Id);
+    if (Gone)
+      Out.m_Summary.m_Vanished.push_back(Id);
+    return Gone;
+  });
+  Out.m_Summary.m_Full = Full;
+  Out.m_Summary.m_Sequence = ++Before.m_Sequence;
+  Before.m_SummaryAt = Now;
+  Out.m_Signs = std::move(Before);
+  return Out;
+}
+
+// ---- At the leader ---------------------------------------------------------
+
+Told told(LeaderSigns Before, const core::VmId &Entry,
+          const SignsSummary &Value, const SignsOptions &Options,
+          core::Time Now) {
+  EntryRecord &Known = Before.m_Entries[Entry];
+  bool InOrder = Value.m_Full || Value.m_Sequence == Known.m_Sequence + 1;
+  if (!InOrder)
+    return {.m_Signs = std::move(Before), .m_NeedsFull = true};
+  auto Forget = [&](const core::TargetId &Id, core::Time Sign) {
+    core::Time &At = Before.m_LastSign[Id];
+    At = std::max(At, Sign);
+  };
+  if (Value.m_Full) {
+    for (const core::TargetId &Id : Known.m_Targets)
+      Forget(Id, Known.m_HeardAt);
+    Known.m_Targets.clear();
+  }
+  // The entry VM has already waited before it reported the target gone.
+  for (const core::TargetId &Id : Value.m_Vanished)
+    if (Known.m_Targets.erase(Id) > 0)
+      Forget(Id, Now - Options.m_GoneAfter);
+  for (const core::TargetId &Id : Value.m_Appeared) {
+    Known.m_Targets.insert(Id);
+    Before.m_LastSign.erase(Id);
+  }
+  Known.m_Sequence = Value.m_Sequence;
+  Known.m_HeardAt = Now;
+  return {.m_Signs = std::move(Before)};
+}
+
+core::Time lastSign(const LeaderSigns &Current, const core::TargetId &Id) {
+  core::Time Newest = Current.m_Since;
+  for (const auto &[Vm, Known] : Current.m_Entries)
+    if (Known.m_Targets.contains(Id))
+      Newest = std::max(Newest, Known.m_HeardAt);
+  auto Last = Current.m_LastSign.find(Id);
+  if (Last != Current.m_LastSign.end())
+    Newest = std::max(Newest, Last->second);
+  return Newest;
+}
+
+} // namespace fireflydrift::routing
--- /dev/null
+++ b/tests/target/target_test.cpp
@@ -0,0 +1,61 @@
+#include "target/target.h"
+
+#include <gtest/gtest.h>
+
+using namespace fireflydrift;
+using namespace fireflydrift::target;
+
+static Target sound() {
+  return *Target::create({.m_Id = core::TargetId("t1"),
+                          .m_Host = "127.0.0.1",
+                          .m_Port = 9000,
+                          .m_Incarnation = 1,
+                          .m_Region = "r1",
+                          .m_FailureDomain = "d1",
+                          .m_Rack = "k1",
+                          .m_Capacity = {8, 64, 1000}});
+}
+
+static const core::Time Start = core::timeFromMs(1000);
+
+TEST(Target, RefusesAnAnnouncementWithoutRack) {
+  Announcement Said = sound().announcement();
+  Said.m_Rack = "";
+  auto Created = Target::create(Said);
+  ASSERT_FALSE(Created);
+  EXPECT_EQ(Created.reason().m_Field, "rack");
+}
+
+TEST(Target, IsQuarantinedAfterFailuresInARow) {
+  Target Value = sound();
+  for (std::uint32_t I = 0; I + 1 < QuarantineAfterFailures; ++I)
+    Value = Value.afterFailure(Start);
+  EXPECT_TRUE(Value.takesWork(Start));
+  Value = Value.afterFailure(Start);
+  EXPECT_FALSE(Value.takesWork(Start));
+  EXPECT_TRUE(Value.takesWork(Start + FirstQuarantine));
+}
+
+TEST(Target, ProbationEndsWithOneFailure) {
+  Target Value = sound();
+  for (std::uint32_t I = 0; I < QuarantineAfterFailures; ++I)
+    Value = Value.afterFailure(Start);
+  core::Time Later = Start + FirstQuarantine;
+  Value = Value.afterFailure(Later);
+  EXPECT_TRUE(
+      Value.isQuarantined(Later + 2 * FirstQuarantine - core::Duration(1)));
+}
+
+TEST(Target, SuccessEndsProbation) {
+  Target Value = sound();
+  for (std::uint32_t I = 0; I < QuarantineAfterFailures; ++I)
+    Value = Value.afterFailure(Start);
+  Value = Value.afterSuccess().afterFailure(Start);
+  EXPECT_EQ(Value.fields().m_ConsecutiveFailures, 1U);
+}
+
+TEST(Target, LeavingTakesNoWorkUntilAnnouncedAgain) {
+  Target Value = sound().withPresence(Presence::Leaving);
+  EXPECT_FALSE(Value.takesWork(Start));
+  EXPECT_TRUE(Value.announcedAgain(Value.announcement()).takesWork(Start));
+}
