--- /dev/null
+++ b/packages/control/leader.h
@@ -0,0 +1,88 @@
+// The leader's duties: keep witnesses, run placement passes, call targets,
+// notice lost targets, forget expired outcomes.
+#ifndef FIREFLYDRIFT_CONTROL_LEADER_H
+#define FIREFLYDRIFT_CONTROL_LEADER_H
+
+#include "control/dispatcher.h"
+#include "control/schedule.h"
+#include "routing/signs.h"
+
+namespace fireflydrift::control {
+
+// ---- Options ---------------------------------------------------------------
+
+struct LeaderOptions {
+  DispatchOptions m_Dispatch;
+  placement::PassOptions m_Pass;
+  routing::SignsOptions m_Signs;
+  // Time between two passes over an unchanged queue.
+  core::Duration m_PassEvery{250};
+  core::Duration m_ExpireEvery{30000};
+  core::Duration m_WitnessEvery{5000};
+  core::Duration m_SilenceEvery{200};
+
+  friend bool operator==(const LeaderOptions &,
+                         const LeaderOptions &) = default;
+};
+
+// ---- State -----------------------------------------------------------------
+
+// The leader's working state; a new leader starts with an empty one.
+struct Leader {
+  Dispatcher m_Dispatcher;
+  placement::Witnesses m_Witnesses;
+  routing::LeaderSigns m_Signs;
+  // Why each queued job waits, for explanations.
+  std::map<core::JobKey, placement::Decision> m_Waiting;
+  std::set<core::TargetId> m_Silent;
+  std::set<core::TargetId> m_LossProposed;
+  // True when something changed that may let a queued job be placed.
+  bool m_PassNeeded = true;
+  bool m_WitnessesNeeded = true;
+  core::Time m_PassAt;
+  core::Time m_ExpireAt;
+  core::Time m_WitnessAt;
+  core::Time m_SilenceAt;
+
+  friend bool operator==(const Leader &, const Leader &) = default;
+};
+
+// ---- Steps -----------------------------------------------------------------
+
+struct LeaderStep {
+  Leader m_Leader;
+  std::vector<Command> m_Commands;
+  std::vector<Call> m_Calls;
+  // Decisions that differ from what was decided for the job before.
+  std::vector<placement::Decision> m_News;
+
+  friend bool operator==(const LeaderStep &, const LeaderStep &) = default;
+};
+
+// A leader that has just been elected.
+[[nodiscard]] Leader beginLeading(const State &Current, core::Time Now);
+
+// After a batch was applied.
+[[nodiscard]] Leader afterApplied(Leader Before, const State &Current,
+                                  const Applied &Result, core::Time Now);
+
+// After a call to a target was answered.
+[[nodiscard]] LeaderStep afterCall(Leader Before, const State &Current,
+                                   const CallReply &Reply,
+                                   const LeaderOptions &Options,
+                                   core::Time Now);
+
+// What is due at Now. MayPass is false while commands of an earlier pass are
+// not applied yet.
+[[nodiscard]] LeaderStep lead(Leader Before, const State &Current,
+                              const LeaderOptions &Options, bool MayPass,
+                              core::Time Now);
+
+// Targets without a sign of life, which get no new work.
+[[nodiscard]] std::set<core::TargetId>
+silentTargets(const Leader &Current, const State &State,
+              const routing::SignsOptions &Options, core::Time Now);
+
+} // namespace fireflydrift::control
+
+#endif // FIREFLYDRIFT_CONTROL_LEADER_H
--- /dev/null
+++ b/packages/fireflydriftctl/main.cpp
@@ -0,0 +1,206 @@
+// The command line of operators and callers.
+#include "runtime/http_client.h"
+
+#include <charconv>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <popt.h>
+#include <sstream>
+#include <vector>
+
+using namespace fireflydrift;
+using namespace fireflydrift::runtime;
+
+// ---- Exit codes ------------------------------------------------------------
+
+static constexpr int ExitOk = 0;
+static constexpr int ExitUsage = 2;
+static constexpr int ExitUnreachable = 3;
+static constexpr int ExitRefused = 4;
+
+static constexpr const char *Usage =
+    "COMMAND\n"
+    "  submit FILE            submit the job in FILE (- for standard input)\n"
+    "  get WORKSPACE ID       print the job and its answers\n"
+    "  cancel WORKSPACE ID    cancel the job\n"
+    "  explain WORKSPACE ID   print how the job was placed, or why it waits\n"
+    "  configure FILE         propose the configuration in FILE\n"
+    "  configuration          print the configuration in force\n"
+    "  status                 print the state of the system\n"
+    "  replay FILE            run a recorded trace and check its outcomes\n"
+    "Exit codes: 0 done, 2 wrong usage, 3 server not reached, 4 refused or\n"
+    "the trace's stated outcomes were not met\n"
+    "Options";
+
+namespace {
+
+struct Arguments {
+  std::string m_Host = "127.0.0.1";
+  std::uint16_t m_Port = 7600;
+  std::string m_Token;
+  long m_WaitMs = 0;
+  std::vector<std::string> m_Words;
+};
+
+} // namespace
+
+// ---- Command line ----------------------------------------------------------
+
+static int usageError(const std::string &Problem) {
+  std::cerr << "fireflydriftctl: " << Problem
+            << "; see fireflydriftctl --help\n";
+  return ExitUsage;
+}
+
+static bool readServer(const std::string &Text, Arguments &Into) {
+  auto Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] =
+      std::from_chars(Text.data() + Colon + 1, End, Into.m_Port);
+  Into.m_Host = Text.substr(0, Colon);
+  return Error == std::errc() && Stop == End;
+}
+
+static std::optional<std::string> readFile(const std::string &Name) {
+  std::ostringstream Text;
+  if (Name == "-") {
+    Text << std::cin.rdbuf();
+    return Text.str();
+  }
+  std::ifstream Stream(Name);
+  if (!Stream)
+    return std::nullopt;
+  Text << Stream.rdbuf();
+  return Text.str();
+}
+
+static std::string firstWord(const std::string &Text) {
+  std::istringstream Stream(Text);
+  std::string Word;
+  Stream >> Word;
+  return Word;
+}
+
+// Returns an exit code when the process should end at once.
+static std::optional<int> readArguments(int Count, const char **Words,
+                                        Arguments &Into) {
+  char *Server = nullptr;
+  char *TokenFile = nullptr;
+  int Version = 0;
+  const poptOption Options[] = {
+      {"server", 's', POPT_ARG_STRING, &Server, 0,
+       "Any VM of the system (127.0.0.1:7600)", "HOST:PORT"},
+      {"token-file", 't', POPT_ARG_STRING, &TokenFile, 0,
+       "File with the operator's or workspace's token", "FILE"},
+      {"wait", 'w', POPT_ARG_LONG, &Into.m_WaitMs, 0,
+       "With get: how long to wait for the outcome", "MILLISECONDS"},
+      {"version", 'V', POPT_ARG_NONE, &Version, 0, "Print the version",
+       nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext Context =
+      poptGetContext("fireflydriftctl", Count, Words, Options, 0);
+  poptSetOtherOptionHelp(Context, Usage);
+  int Result = poptGetNextOpt(Context);
+  while (const char *Word = poptGetArg(Context))
+    Into.m_Words.emplace_back(Word);
+  std::string Problem = Result < -1 ? std::string(poptBadOption(Context, 0)) +
+                                          ": " + poptStrerror(Result)
+                                    : std::string();
+  poptFreeContext(Context);
+  std::string ServerText = Server ? Server : "";
+  std::string TokenName = TokenFile ? TokenFile : "";
+  std::free(Server);
+  std::free(TokenFile);
+  if (Version != 0) {
+    std::cout << "fireflydriftctl " << FIREFLYDRIFT_VERSION << "\n";
+    return ExitOk;
+  }
+  if (!Problem.empty())
+    return usageError(Problem);
+  if (!ServerText.empty() && !readServer(ServerText, Into))
+    return usageError("--server must be HOST:PORT");
+  if (!TokenName.empty()) {
+    auto Text = readFile(TokenName);
+    if (!Text)
+      return usageError("the token file can't be read");
+    Into.m_Token = firstWord(*Text);
+  }
+  return std::nullopt;
+}
+
+// ---- Calls -----------------------------------------------------------------
+
+static int perform(const Arguments &Given, const std::string &Method,
+                   const std::string &Path, const std::string &Body) {
+  Loop On;
+  HttpClient Client(On);
+  constexpr core::Duration Margin{15000};
+  HttpCall Call{.m_Method = Method,
+                .m_Host = Given.m_Host,
+                .m_Port = Given.m_Port,
+                .m_Path = Path,
+                .m_Body = Body,
+                .m_Token = Given.m_Token,
+                .m_Timeout = Margin + core::Duration(Given.m_WaitMs)};
+  int Code = ExitUnreachable;
+  Client.send(Call, [&](std::optional<HttpAnswer> Answer) {
+    if (Answer) {
+      std::cout << Answer->m_Body << "\n";
+      Code = Answer->m_Status < 300 ? ExitOk : ExitRefused;
+    } else {
+      std::cerr << "fireflydriftctl: no answer from " << Given.m_Host << ":"
+                << Given.m_Port << "\n";
+    }
+    On.stop();
+  });
+  constexpr core::Duration Turn{100};
+  On.run(Turn, [&] { Client.expire(On.now()); });
+  return Code;
+}
+
+static int performWithFile(const Arguments &Given, const std::string &Method,
+                           const std::string &Path, const std::string &File) {
+  auto Body = readFile(File);
+  if (!Body)
+    return usageError("'" + File + "' can't be read");
+  return perform(Given, Method, Path, *Body);
+}
+
+static int runCommand(const Arguments &Given) {
+  const std::vector<std::string> &Words = Given.m_Words;
+  if (Words.empty())
+    return usageError("a command is missing");
+  const std::string &Command = Words[0];
+  auto Is = [&](const char *Name, std::size_t Count) {
+    return Command == Name && Words.size() == Count;
+  };
+  if (Is("status", 1))
+    return perform(Given, "GET", "/v1/status", "");
+  if (Is("configuration", 1))
+    return perform(Given, "GET", "/v1/configuration", "");
+  if (Is("submit", 2))
+    return performWithFile(Given, "POST", "/v1/jobs", Words[1]);
+  if (Is("configure", 2))
+    return performWithFile(Given, "PUT", "/v1/configuration", Words[1]);
+  if (Words.size() == 3) {
+    std::string Path = "/v1/jobs/" + Words[1] + "/" + Words[2];
+    if (Command == "get")
+      return perform(Given, "GET",
+                     Path + "?wait_ms=" + std::to_string(Given.m_WaitMs), "");
+    if (Command == "cancel")
+      return perform(Given, "DELETE", Path, "");
+    if (Command == "explain")
+      return perform(Given, "GET", Path + "/decisions", "");
+  }
+  return usageError("unknown command, or wrong number of words");
+}
+
+int main(int Count, char **Words) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Arguments Given;
+  auto Early = readArguments(Count, const_cast<const char **>(Words), Given);
+  return Early ? *Early : runCommand(Given);
+}
--- /dev/null
+++ b/packages/fireflydriftd/main.cpp
@@ -0,0 +1,198 @@
+// The server, the same on every VM.
+#include "runtime/events.h"
+#include "runtime/front.h"
+
+#include <csignal>
+#include <iostream>
+#include <popt.h>
+
+using namespace fireflydrift;
+using namespace fireflydrift::runtime;
+
+// ---- Exit codes ------------------------------------------------------------
+
+static constexpr int ExitOk = 0;
+static constexpr int ExitUsage = 2;
+static constexpr int ExitSettings = 3;
+static constexpr int ExitStart = 4;
+
+static constexpr core::Duration LongestTurn{25};
+
+// ---- Signals ---------------------------------------------------------------
+
+static volatile std::sig_atomic_t StopSignals = 0;
+static volatile std::sig_atomic_t ReloadSignals = 0;
+
+static void onStopSignal(int) { StopSignals = StopSignals + 1; }
+static void onReloadSignal(int) { ReloadSignals = ReloadSignals + 1; }
+
+static void catchSignals() {
+  struct sigaction Stop {};
+  Stop.sa_handler = onStopSignal;
+  sigaction(SIGTERM, &Stop, nullptr);
+  sigaction(SIGINT, &Stop, nullptr);
+  struct sigaction Reload {};
+  Reload.sa_handler = onReloadSignal;
+  sigaction(SIGHUP, &Reload, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+// ---- Command line ----------------------------------------------------------
+
+namespace {
+
+struct Arguments {
+  std::string m_SettingsFile;
+  std::string m_DataFolder;
+  std::string m_Port = "7600";
+  bool m_CheckOnly = false;
+};
+
+} // namespace
+
+static std::string take(char *Text) {
+  std::string Value = Text ? Text : "";
+  std::free(Text);
+  return Value;
+}
+
+// Returns an exit code when the process should end at once.
+static std::optional<int> readArguments(int Count, const char **Words,
+                                        Arguments &Into) {
+  char *SettingsFile = nullptr;
+  char *DataFolder = nullptr;
+  char *Port = nullptr;
+  int CheckOnly = 0;
+  int Version = 0;
+  const poptOption Options[] = {
+      {"settings", 's', POPT_ARG_STRING, &SettingsFile, 0,
+       "Settings file (INI); without it one VM runs on embedded defaults",
+       "FILE"},
+      {"data", 'd', POPT_ARG_STRING, &DataFolder, 0,
+       "Data folder for the embedded defaults", "FOLDER"},
+      {"port", 'p', POPT_ARG_STRING, &Port, 0,
+       "HTTP port for the embedded defaults (7600)", "PORT"},
+      {"check", 'c', POPT_ARG_NONE, &CheckOnly, 0,
+       "Check the settings and exit", nullptr},
+      {"version", 'V', POPT_ARG_NONE, &Version, 0, "Print the version",
+       nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext Context =
+      poptGetContext("fireflydriftd", Count, Words, Options, 0);
+  int Result = poptGetNextOpt(Context);
+  bool Extra = poptPeekArg(Context) != nullptr;
+  std::string Problem = Result < -1 ? std::string(poptBadOption(Context, 0)) +
+                                          ": " + poptStrerror(Result)
+                                    : std::string();
+  poptFreeContext(Context);
+  Into.m_SettingsFile = take(SettingsFile);
+  Into.m_DataFolder = take(DataFolder);
+  if (std::string Given = take(Port); !Given.empty())
+    Into.m_Port = Given;
+  Into.m_CheckOnly = CheckOnly != 0;
+  if (Version != 0) {
+    std::cout << "fireflydriftd " << FIREFLYDRIFT_VERSION << "\n";
+    return ExitOk;
+  }
+  if (!Problem.empty() || Extra) {
+    std::cerr << "fireflydriftd: "
+              << (Extra ? std::string("unexpected argument") : Problem) << "\n";
+    return ExitUsage;
+  }
+  return std::nullopt;
+}
+
+// One VM that is alone, for trying things out.
+static core::Outcome<Settings> embeddedSettings(const Arguments &Given) {
+  if (Given.m_DataFolder.empty())
+    return core::Reason{core::ReasonCode::InvalidInput, "--data",
+                        "is required without --settings"};
+  std::string Text =
+      "[vm]\nid = a\n[http]\nhost = 127.0.0.1\nport = " + Given.m_Port +
+      "\n[replica]\ndata_folder = " + Given.m_DataFolder +
+      "\n[vms]\na = 127.0.0.1:1 region domain replica\n";
+  return parseSettings(Text, "embedded");
+}
+
+// ---- Running ---------------------------------------------------------------
+
+static int runServer(const Settings &Values, Tokens InForce,
+                     const TokenFiles &Files) {
+  Loop On;
+  Node Self(On, Values);
+  auto Started = Self.start();
+  if (!Started) {
+    logEvent(Event::ListenFailed,
+             {{"reason", core::toString(Started.reason())}});
+    return ExitStart;
+  }
+  Front Interface(Self, std::move(InForce));
+  HttpServerOptions Options = Values.m_Http;
+  // The interface itself refuses what is a little too long, with a reason.
+  Options.m_MaxBodyBytes += Options.m_MaxBodyBytes / 4;
+  HttpServer Server(On, Options,
+                    [&](const HttpRequest &Request, Responder Respond) {
+                      Interface.handle(Request, std::move(Respond));
+                    });
+  auto Listening = Server.listen();
+  if (!Listening) {
+    logEvent(Event::ListenFailed,
+             {{"reason", core::toString(Listening.reason())}});
+    return ExitStart;
+  }
+  logEvent(Event::Started, {{"vm", Values.m_Self.m_Id.text()},
+                            {"http", Values.m_Http.m_Host + ":" +
+                                         std::to_string(Values.m_Http.m_Port)},
+                            {"version", FIREFLYDRIFT_VERSION}});
+  On.run(LongestTurn, [&] {
+    Self.turn();
+    if (StopSignals > 0) {
+      Self.drain(On.now());
+      Server.drain();
+    }
+    if (StopSignals > 1 || Self.isDrained(On.now()))
+      On.stop();
+    if (ReloadSignals > 0) {
+      ReloadSignals = 0;
+      auto Reloaded = Tokens::read(Files);
+      if (Reloaded)
+        Interface.setTokens(*std::move(Reloaded));
+      logEvent(Event::TokensReloaded,
+               {{"reason", core::toString(Reloaded.reason())}});
+    }
+  });
+  logEvent(Event::Stopped, {{"vm", Values.m_Self.m_Id.text()}});
+  return ExitOk;
+}
+
+int main(int Count, char **Words) {
+  Arguments Given;
+  auto Early = readArguments(Count, const_cast<const char **>(Words), Given);
+  if (Early)
+    return *Early;
+  auto Values = Given.m_SettingsFile.empty()
+                    ? embeddedSettings(Given)
+                    : readSettings(Given.m_SettingsFile);
+  if (!Values) {
+    std::cerr << "fireflydriftd: " << core::toString(Values.reason()) << "\n";
+    return ExitSettings;
+  }
+  TokenFiles Files{.m_Operator = Values->m_OperatorTokenFile,
+                   .m_Workspaces = Values->m_WorkspaceTokensFile};
+  auto InForce = Tokens::read(Files);
+  if (!InForce) {
+    std::cerr << "fireflydriftd: " << core::toString(InForce.reason()) << "\n";
+    return ExitSettings;
+  }
+  if (Given.m_CheckOnly) {
+    std::cout << "settings are valid\n";
+    return ExitOk;
+  }
+  auto Logging = openLog(Values->m_LogLevel, Values->m_LogFile);
+  if (!Logging) {
+    std::cerr << "fireflydriftd: " << core::toString(Logging.reason()) << "\n";
+    return ExitSettings;
+  }
+  catchSignals();
+  return runServer(*Values, *std::move(InForce), Files);
+}
--- /dev/null
+++ b/packages/runtime/address.cpp
@@ -0,0 +1,58 @@
+#include "runtime/address.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <unistd.h>
+
+namespace fireflydrift::runtime {
+
+static constexpr int ListenBacklog = 512;
+
+core::Outcome<sockaddr_in> toAddress(const std::string &Host,
+                                     std::uint16_t Port) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  if (inet_pton(AF_INET, Host.c_str(), &Address.sin_addr) != 1)
+    return core::Reason{core::ReasonCode::InvalidInput, "host",
+                        "'" + Host + "' is not a numeric IPv4 address"};
+  return Address;
+}
+
+static core::Reason failed(const char *What, const std::string &Host,
+                           std::uint16_t Port) {
+  return {core::ReasonCode::Io, What,
+          Host + ":" + std::to_string(Port) + ": " + std::strerror(errno)};
+}
+
+static core::Outcome<int> openSocket(int Type, const char *What,
+                                     const std::string &Host,
+                                     std::uint16_t Port) {
+  auto Address = toAddress(Host, Port);
+  if (!Address)
+    return Address.reason();
+  int Socket = socket(AF_INET, Type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Socket < 0)
+    return failed(What, Host, Port);
+  int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  bool Bound = bind(Socket, reinterpret_cast<const sockaddr *>(&*Address),
+                    sizeof(sockaddr_in)) == 0;
+  if (Bound && (Type == SOCK_DGRAM || ::listen(Socket, ListenBacklog) == 0))
+    return Socket;
+  core::Reason Why = failed(What, Host, Port);
+  close(Socket);
+  return Why;
+}
+
+core::Outcome<int> openListener(const std::string &Host, std::uint16_t Port) {
+  return openSocket(SOCK_STREAM, "listen", Host, Port);
+}
+
+core::Outcome<int> openDatagramSocket(const std::string &Host,
+                                      std::uint16_t Port) {
+  return openSocket(SOCK_DGRAM, "datagram", Host, Port);
+}
+
+} // namespace fireflydrift::runtime
--- /dev/null
+++ b/packages/runtime/entry.cpp
@@ -0,0 +1,113 @@
+#include "runtime/entry.h"
+
+namespace fireflydrift::runtime {
+
+Entry::Entry(EntryOptions Options, Counters &Counts, Send Sender)
+    : m_Options(Options), m_Counters(Counts), m_Send(std::move(Sender)) {
+  m_Forwarding.m_Budget = routing::fullBudget(m_Options.m_Retry);
+}
+
+// ---- Observation -----------------------------------------------------------
+
+core::Reason Entry::admit(const core::WorkspaceId &Id, core::Time Now) const {
+  return routing::check(m_Admission, m_Options.m_Admission, Id, Now);
+}
+
+messages::ReportReply Entry::reportReply(const core::TargetId &Id,
+                                         core::Time Now) const {
+  bool LeaderKnown =
+      Now - m_Admission.m_LeaderHeardAt <= m_Options.m_Admission.m_LeaderWithin;
+  // Without a leader nobody may promise a target that its leases go on.
+  return {.m_Known = m_Announced.contains(Id),
+          .m_Lease = LeaderKnown ? m_Options.m_Lease : core::Duration(0)};
+}
+
+// ---- Requests --------------------------------------------------------------
+
+static core::Duration ownWait(const control::Operation &Value) {
+  const auto *Asked = std::get_if<control::Fetch>(&Value);
+  return Asked ? Asked->m_Wait : core::Duration(0);
+}
+
+void Entry::submit(control::Operation Value, const core::WorkspaceId &Holder,
+                   OnReply Callback, core::Time Now) {
+  std::uint64_t Id = ++m_NextId;
+  core::Time Deadline = Now + m_Options.m_Deadline + ownWait(Value);
+  m_Admission = routing::taken(std::move(m_Admission), Holder);
+  m_Held.emplace(Id, Held{.m_Operation = std::move(Value),
+                          .m_Holder = Holder,
+                          .m_Callback = std::move(Callback)});
+  m_Forwarding = routing::added(std::move(m_Forwarding), Id, Deadline, Now);
+}
+
+void Entry::complete(std::uint64_t Id, control::Reply Value) {
+  auto Found = m_Held.find(Id);
+  // A second reply to a repeated operation.
+  if (Found == m_Held.end())
+    return;
+  Held Done = std::move(Found->second);
+  m_Held.erase(Found);
+  m_Forwarding = routing::removed(std::move(m_Forwarding), Id);
+  m_Admission = routing::finished(std::move(m_Admission), Done.m_Holder);
+  Done.m_Callback(std::move(Value));
+}
+
+void Entry::bounced(std::uint64_t Id, core::Time Now) {
+  m_Forwarding =
+      routing::bounced(std::move(m_Forwarding), Id, m_Options.m_Retry, Now);
+}
+
+void Entry::forward(const core::VmId &Leader, core::Time Now) {
+  routing::ForwardingStep Next =
+      routing::due(std::move(m_Forwarding), Leader, m_Options.m_Retry, Now);
+  m_Forwarding = std::move(Next.m_Forwarding);
+  for (std::uint64_t Id : Next.m_Send) {
+    if (m_Forwarding.m_Pending.at(Id).m_Tries > 1)
+      m_Counters.add("fireflydrift_retries_total");
+    auto Found = m_Held.find(Id);
+    if (Found != m_Held.end())
+      m_Send(Leader, messages::ForwardOperation{
+                         .m_Id = Id, .m_Operation = Found->second.m_Operation});
+  }
+  for (std::uint64_t Id : Next.m_Expired)
+    complete(Id, control::Failure{
+                     {core::ReasonCode::Unavailable, "",
+                      "no leader decided in time; ask again under the same "
+                      "id"}});
+}
+
+// ---- Targets ---------------------------------------------------------------
+
+void Entry::heardLeader(core::Time Now) {
+  m_Admission.m_LeaderHeardAt = std::max(m_Admission.m_LeaderHeardAt, Now);
+}
+
+void Entry::heardTarget(const core::TargetId &Id, core::Time Now) {
+  m_Signs = routing::heard(std::move(m_Signs), Id, Now);
+}
+
+void Entry::targetAnnounced(const core::TargetId &Id) {
+  m_Announced.insert(Id);
+}
+
+void Entry::summarise(const core::VmId &Leader, core::Time Now) {
+  if (!routing::summaryIsDue(m_Signs, m_Options.m_Signs, Now))
+    return;
+  bool Full = std::exchange(m_FullSummary, false) || m_SummaryLeader != Leader;
+  m_SummaryLeader = Leader;
+  routing::Summarised Next =
+      routing::summarise(std::move(m_Signs), m_Options.m_Signs, Full, Now);
+  m_Signs = std::move(Next.m_Signs);
+  // A target that went away announces itself again when it is back.
+  for (const core::TargetId &Id : Next.m_Summary.m_Vanished)
+    m_Announced.erase(Id);
+  m_Send(Leader, messages::TellSigns{.m_Summary = std::move(Next.m_Summary)});
+}
+
+void Entry::turn(const core::VmId &Leader, core::Time Now) {
+  forward(Leader, Now);
+  if (!Leader.empty())
+    summarise(Leader, Now);
+}
+
+} // namespace fireflydrift::runtime
--- /dev/null
+++ b/packages/runtime/events.h
@@ -0,0 +1,73 @@
+// Log lines as numbered events. docs/EVENTS.md is their catalogue.
+#ifndef FIREFLYDRIFT_RUNTIME_EVENTS_H
+#define FIREFLYDRIFT_RUNTIME_EVENTS_H
+
+#include "core/outcome.h"
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace fireflydrift::runtime {
+
+// The numbers are part of the interface: they never change their meaning.
+enum class Event : std::uint16_t {
+  Started = 1001,
+  SettingsRefused = 1002,
+  Stopping = 1003,
+  Stopped = 1004,
+  ListenFailed = 1005,
+  TokensReloaded = 1006,
+  JobAccepted = 2001,
+  JobPlaced = 2002,
+  JobWaiting = 2003,
+  JobRefused = 2004,
+  JobReclaiming = 2005,
+  JobFinished = 2006,
+  JobStopping = 2007,
+  RequestRefused = 2008,
+  RequestRouted = 2009,
+  TargetAnnounced = 3001,
+  TargetLost = 3002,
+  TargetLeaving = 3003,
+  TargetQuarantined = 3004,
+  TargetCallFailed = 3005,
+  RoleChanged = 4001,
+  ConfigurationInForce = 4002,
+  GuaranteeMissing = 4003,
+  GuaranteeRestored = 4004,
+  SnapshotWritten = 4005,
+  SnapshotInstalled = 4006,
+  RecoveredFromDisk = 4007,
+  DiskFailed = 4008,
+  ConnectionSilent = 4009,
+  VmLiveness = 4010,
+  MessageRefused = 4011,
+};
+
+enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
+
+// What the catalogue says of an event.
+struct EventInfo {
+  Event m_Event;
+  Severity m_Severity;
+  const char *m_Name;
+};
+
+// All events, in the order of their numbers.
+[[nodiscard]] const std::vector<EventInfo> &allEvents();
+
+using Fields = std::vector<std::pair<const char *, std::string>>;
+
+// Sends log lines of at least this severity to standard error, or to a file
+// when one is named. Fails with InvalidInput on an unknown level.
+[[nodiscard]] core::Outcome<bool> openLog(const std::string &Level,
+                                          const std::string &File);
+
+// Writes one line: time, severity, FD and the number, name, key=value fields.
+void logEvent(Event Value, const Fields &Details);
+
+} // namespace fireflydrift::runtime
+
+#endif // FIREFLYDRIFT_RUNTIME_EVENTS_H
--- /dev/null
+++ b/packages/runtime/h2o_api.h
@@ -0,0 +1,16 @@
+// The h2o headers, in the one order that works from C++.
+#ifndef FIREFLYDRIFT_RUNTIME_H2O_API_H
+#define FIREFLYDRIFT_RUNTIME_H2O_API_H
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wpedantic"
+#pragma GCC diagnostic ignored "-Wsign-compare"
+#pragma GCC diagnostic ignored "-Wunused-parameter"
+extern "C" {
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http1client.h>
+}
+#pragma GCC diagnostic pop
+
+#endif // FIREFLYDRIFT_RUNTIME_H2O_API_H
--- /dev/null
+++ b/packages/runtime/http_client.cpp
@@ -0,0 +1,175 @@
+#include "runtime/http_client.h"
+
+#include "runtime/h2o_api.h"
+
+#include <utility>
+#include <vector>
+
+namespace fireflydrift::runtime {
+
+// Longest silence on a connection before h2o itself gives it up.
+static constexpr std::uint64_t IoTimeoutMs = 60000;
+// Largest answer of a target that is read.
+static constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
+
+namespace {
+
+// One call under way.
+struct Flight {
+  std::string m_Request;
+  h2o_iovec_t m_Buffer{};
+  HttpCallback m_Callback;
+  HttpAnswer m_Answer;
+  core::Time m_Deadline;
+  h2o_http1client_t *m_Client = nullptr;
+  bool m_Done = false;
+};
+
+} // namespace
+
+struct HttpClient::Impl {
+  Loop &m_Loop;
+  h2o_timeout_t m_Timeout{};
+  h2o_http1client_ctx_t m_Context{};
+  h2o_multithread_queue_t *m_Queue = nullptr;
+  h2o_multithread_receiver_t m_Receiver{};
+  std::map<std::uint64_t, std::shared_ptr<Flight>> m_Flights;
+  std::uint64_t m_NextId = 0;
+
+  static h2o_http1client_head_cb onConnect(h2o_http1client_t *Client,
+                                           const char *Error,
+                                           h2o_iovec_t **Buffers,
+                                           std::size_t *Count, int *IsHead);
+  static h2o_http1client_body_cb onHead(h2o_http1client_t *Client,
+                                        const char *Error, int Minor,
+                                        int Status, h2o_iovec_t Message,
+                                        h2o_header_t *Headers,
+                                        std::size_t HeaderCount, int RawLength);
+  static int onBody(h2o_http1client_t *Client, const char *Error);
+};
+
+// ---- Callbacks of h2o ------------------------------------------------------
+
+static void finish(Flight &Value, bool Whole) {
+  if (std::exchange(Value.m_Done, true))
+    return;
+  // h2o frees its client object after the callback.
+  Value.m_Client = nullptr;
+  HttpCallback Callback = std::move(Value.m_Callback);
+  Callback(Whole ? std::optional(std::move(Value.m_Answer)) : std::nullopt);
+}
+
+h2o_http1client_head_cb HttpClient::Impl::onConnect(h2o_http1client_t *Client,
+                                                    const char *Error,
+                                                    h2o_iovec_t **Buffers,
+                                                    std::size_t *Count,
+                                                    int *IsHead) {
+  auto &Value = *static_cast<Flight *>(Client->data);
+  if (Error) {
+    finish(Value, false);
+    return nullptr;
+  }
+  Value.m_Buffer =
+      h2o_iovec_init(Value.m_Request.data(), Value.m_Request.size());
+  *Buffers = &Value.m_Buffer;
+  *Count = 1;
+  *IsHead = 0;
+  return onHead;
+}
+
+h2o_http1client_body_cb HttpClient::Impl::onHead(h2o_http1client_t *Client,
+                                                 const char *Error, int,
+                                                 int Status, h2o_iovec_t,
+                                                 h2o_header_t *, std::size_t,
+                                                 int) {
+  auto &Value = *static_cast<Flight *>(Client->data);
+  bool Ended = Error == h2o_http1client_error_is_eos;
+  if (Error && !Ended) {
+    finish(Value, false);
+    return nullptr;
+  }
+  Value.m_Answer.m_Status = Status;
+  if (Ended) {
+    finish(Value, true);
+    return nullptr;
+  }
+  return onBody;
+}
+
+int HttpClient::Impl::onBody(h2o_http1client_t *Client, const char *Error) {
+  auto &Value = *static_cast<Flight *>(Client->data);
+  bool Ended = Error == h2o_http1client_error_is_eos;
+  if (Error && !Ended) {
+    finish(Value, false);
+    return -1;
+  }
+  h2o_buffer_t *Input = Client->sock->input;
+  bool TooLong = Value.m_Answer.m_Body.size() + Input->size > MaxAnswerBytes;
+  if (TooLong) {
+    finish(Value, false);
+    return -1;
+  }
+  Value.m_Answer.m_Body.append(Input->bytes, Input->size);
+  h2o_buffer_consume(&Client->sock->input, Input->size);
+  if (Ended)
+    finish(Value, true);
+  return 0;
+}
+
+// ---- Calls -----------------------------------------------------------------
+
+HttpClient::HttpClient(Loop &On) : m_Impl(new Impl{.m_Loop = On}) {
+  h2o_timeout_init(On.raw(), &m_Impl->m_Timeout, IoTimeoutMs);
+  m_Impl->m_Queue = h2o_multithread_create_queue(On.raw());
+  h2o_multithread_register_receiver(m_Impl->m_Queue, &m_Impl->m_Receiver,
+                                    h2o_hostinfo_getaddr_receiver);
+  m_Impl->m_Context = {.loop = On.raw(),
+                       .getaddr_receiver = &m_Impl->m_Receiver,
+                       .io_timeout = &m_Impl->m_Timeout,
+                       .websocket_timeout = nullptr,
+                       .ssl_ctx = nullptr};
+}
+
+HttpClient::~HttpClient() = default;
+
+static std::string writeRequest(const HttpCall &Value) {
+  std::string Text =
+      Value.m_Method + " " + Value.m_Path + " HTTP/1.1\r\n" +
+      "host: " + Value.m_Host + ":" + std::to_string(Value.m_Port) + "\r\n" +
+      "connection: close\r\n" + "content-type: application/json\r\n" +
+      "content-length: " + std::to_string(Value.m_Body.size()) + "\r\n";
+  if (!Value.m_Token.empty())
+    Text += "authorization: Bearer " + Value.m_Token + "\r\n";
+  return Text + "\r\n" + Value.m_Body;
+}
+
+void HttpClient::send(const HttpCall &Value, HttpCallback Callback) {
+  std::uint64_t Id = ++m_Impl->m_NextId;
+  auto Started = std::make_shared<Flight>();
+  Started->m_Request = writeRequest(Value);
+  Started->m_Callback = std::move(Callback);
+  Started->m_Deadline = m_Impl->m_Loop.now() + Value.m_Timeout;
+  m_Impl->m_Flights.emplace(Id, Started);
+  h2o_http1client_connect(
+      &Started->m_Client, Started.get(), &m_Impl->m_Context,
+      h2o_iovec_init(Value.m_Host.data(), Value.m_Host.size()), Value.m_Port, 0,
+      Impl::onConnect);
+}
+
+void HttpClient::expire(core::Time Now) {
+  std::vector<std::shared_ptr<Flight>> Late;
+  std::erase_if(m_Impl->m_Flights, [&](const auto &Each) {
+    const auto &[Id, Value] = Each;
+    bool Over = !Value->m_Done && Now >= Value->m_Deadline;
+    if (Over)
+      Late.push_back(Value);
+    return Over || Value->m_Done;
+  });
+  for (const std::shared_ptr<Flight> &Value : Late) {
+    if (Value->m_Client)
+      h2o_http1client_cancel(Value->m_Client);
+    finish(*Value, false);
+  }
+}
+
+} // namespace fireflydrift::runtime
--- /dev/null
+++ b/packages/runtime/http_client.h
@@ -0,0 +1,56 @@
+// The HTTP client towards targets.
+#ifndef FIREFLYDRIFT_RUNTIME_HTTP_CLIENT_H
+#define FIREFLYDRIFT_RUNTIME_HTTP_CLIENT_H
+
+#include "runtime/loop.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace fireflydrift::runtime {
+
+struct HttpCall {
+  std::string m_Method;
+  std::string m_Host;
+  std::uint16_t m_Port = 0;
+  std::string m_Path;
+  std::string m_Body;
+  std::string m_Token;
+  core::Duration m_Timeout{1500};
+
+  friend bool operator==(const HttpCall &, const HttpCall &) = default;
+};
+
+struct HttpAnswer {
+  int m_Status = 0;
+  std::string m_Body;
+
+  friend bool operator==(const HttpAnswer &, const HttpAnswer &) = default;
+};
+
+// Called once: with the whole answer, or with nothing when the connection
+// failed, broke off, or the time was over.
+using HttpCallback = std::function<void(std::optional<HttpAnswer>)>;
+
+// Sends each call over a connection of its own, so that a connection that has
+// gone silent never swallows a second call.
+class HttpClient {
+public:
+  explicit HttpClient(Loop &On);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  void send(const HttpCall &Value, HttpCallback Callback);
+  // Gives up calls whose time is over; called on each turn of the loop.
+  void expire(core::Time Now);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace fireflydrift::runtime
+
+#endif // FIREFLYDRIFT_RUNTIME_HTTP_CLIENT_H
--- /dev/null
+++ b/packages/runtime/leader_host.cpp
@@ -0,0 +1,280 @@
+#include "runtime/leader_host.h"
+
+#include "runtime/events.h"
+
+namespace fireflydrift::runtime {
+
+// Shortest time between two rounds of the leader's duties.
+static constexpr core::Duration TurnEvery{10};
+
+LeaderHost::LeaderHost(control::LeaderOptions Options, Counters &Counts,
+                       LeaderHooks Hooks)
+    : m_Options(Options), m_Counters(Counts), m_Hooks(std::move(Hooks)) {}
+
+// ---- Taking over and giving up ---------------------------------------------
+
+void LeaderHost::begin(const control::State &State, core::Time Now) {
+  m_Leader = control::beginLeading(State, Now);
+  m_PassIndex = 0;
+  m_PassProposed = false;
+}
+
+void LeaderHost::end() {
+  m_Leader.reset();
+  auto Bounce = [&](const std::optional<Waiter> &Each) {
+    if (Each)
+      m_Hooks.m_Bounce(Each->m_Origin);
+  };
+  for (const auto &[Index, All] : m_AwaitApplied)
+    for (const std::optional<Waiter> &Each : All)
+      Bounce(Each);
+  for (const std::optional<Waiter> &Each : m_ProposalWaiters)
+    Bounce(Each);
+  for (const auto &[From, Each] : m_Fetches)
+    m_Hooks.m_Bounce(From);
+  m_AwaitApplied.clear();
+  m_Proposals.clear();
+  m_ProposalWaiters.clear();
+  m_Fetches.clear();
+}
+
+// ---- Operations ------------------------------------------------------------
+
+control::Reply LeaderHost::complete(control::Reply Value,
+                                    const control::Operation &For) const {
+  if (auto *Status = std::get_if<control::StatusView>(&Value))
+    m_Hooks.m_CompleteStatus(*Status);
+  auto *Decisions = std::get_if<control::DecisionsView>(&Value);
+  const auto *Asked = std::get_if<control::Explain>(&For);
+  if (Decisions && Asked) {
+    // Why a job waits is known to the leader only.
+    auto Waiting = m_Leader->m_Waiting.find(Asked->m_Job);
+    if (Waiting != m_Leader->m_Waiting.end())
+      Decisions->m_Decisions.push_back(Waiting->second);
+  }
+  return Value;
+}
+
+bool LeaderHost::waitForOutcome(const Origin &From,
+                                const control::Operation &Value,
+                                const control::State &State, core::Time Now) {
+  const auto *Asked = std::get_if<control::Fetch>(&Value);
+  if (!Asked || Asked->m_Wait <= core::Duration::zero())
+    return false;
+  const job::Job *Found = control::findJob(State, Asked->m_Job);
+  if (!Found || Found->isFinished())
+    return false;
+  // A repeated fetch keeps the time of the first.
+  m_Fetches.emplace(
+      From, FetchWaiter{.m_Job = Asked->m_Job, .m_Until = Now + Asked->m_Wait});
+  return true;
+}
+
+void LeaderHost::decide(const Origin &From, const control::Operation &Value,
+                        const control::State &State, core::Time Now) {
+  if (!m_Leader)
+    return m_Hooks.m_Bounce(From);
+  m_Counters.add("fireflydrift_operations_total");
+  if (waitForOutcome(From, Value, State, Now))
+    return;
+  control::Handling Next =
+      control::handle(State, Value, m_Leader->m_Witnesses, Now);
+  if (Next.m_Reply) {
+    m_Hooks.m_Reply(From, complete(*std::move(Next.m_Reply), Value));
+    return;
+  }
+  propose(std::move(Next.m_Commands),
+          Waiter{.m_Origin = From, .m_Operation = Value});
+}
+
+// ---- Proposing -------------------------------------------------------------
+
+void LeaderHost::propose(std::vector<control::Command> Commands,
+                         std::optional<Waiter> Waiting) {
+  for (control::Command &Each : Commands) {
+    m_Proposals.push_back(std::move(Each));
+    // The operation is answered with its first command's result.
+    m_ProposalWaiters.push_back(std::exchange(Waiting, std::nullopt));
+  }
+}
+
+void LeaderHost::flush(core::Time Now) {
+  if (m_Proposals.empty())
+    return;
+  control::Batch Value{.m_At = Now,
+                       .m_Commands = std::exchange(m_Proposals, {})};
+  std::uint64_t Index = m_Hooks.m_Propose(Value);
+  m_AwaitApplied.emplace(Index, std::exchange(m_ProposalWaiters, {}));
+  if (std::exchange(m_PassProposed, false))
+    m_PassIndex = Index;
+}
+
+void LeaderHost::onApplied(std::uint64_t Index, const control::Applied &Result,
+                           const control::State &State, core::Time Now) {
+  m_AppliedIndex = Index;
+  if (!m_Leader)
+    return;
+  logChanges(Result, State);
+  m_Leader = control::afterApplied(*std::move(m_Leader), State, Result, Now);
+  answerFetches(Result, State);
+  auto Found = m_AwaitApplied.find(Index);
+  if (Found == m_AwaitApplied.end())
+    return;
+  Waiters All = std::move(Found->second);
+  m_AwaitApplied.erase(Found);
+  for (std::size_t I = 0; I < All.size() && I < Result.m_Results.size(); ++I)
+    if (All[I])
+      m_Hooks.m_Reply(
+          All[I]->m_Origin,
+          control::answer(State, All[I]->m_Operation, Result.m_Results[I]));
+}
+
+void LeaderHost::answerFetches(const control::Applied &Result,
+                               const control::State &State) {
+  if (m_Fetches.empty())
+    return;
+  for (const control::Change &Each : Result.m_Changes) {
+    const job::Job *Job = control::findJob(State, Each.m_Job);
+    if (!Job || !Job->isFinished())
+      continue;
+    std::erase_if(m_Fetches, [&](const auto &Pair) {
+      bool Matches = Pair.second.m_Job == Each.m_Job;
+      if (Matches)
+        m_Hooks.m_Reply(Pair.first, control::viewOf(*Job));
+      return Matches;
+    });
+  }
+}
+
+void LeaderHost::expireFetches(const control::State &State, core::Time Now) {
+  std::erase_if(m_Fetches, [&](const auto &Pair) {
+    if (Now < Pair.second.m_Until)
+      return false;
+    const job::Job *Job = control::findJob(State, Pair.second.m_Job);
+    if (Job)
+      m_Hooks.m_Reply(Pair.first, control::viewOf(*Job));
+    return true;
+  });
+}
+
+// ---- Duties ----------------------------------------------------------------
+
+void LeaderHost::carryOut(control::LeaderStep Step) {
+  m_Leader = std::move(Step.m_Leader);
+  for (const placement::Decision &Each : Step.m_News)
+    logNews(Each);
+  propose(std::move(Step.m_Commands), std::nullopt);
+  for (const control::Call &Each : Step.m_Calls)
+    m_Hooks.m_Call(Each);
+}
+
+void LeaderHost::turn(const control::State &State, core::Time Now) {
+  if (!m_Leader || Now - m_TurnAt < TurnEvery)
+    return;
+  m_TurnAt = Now;
+  bool MayPass = m_AppliedIndex >= m_PassIndex && !m_PassProposed;
+  core::Time PassBefore = m_Leader->m_PassAt;
+  carryOut(control::lead(*std::move(m_Leader), State, m_Options, MayPass, Now));
+  m_PassProposed = m_PassProposed || m_Leader->m_PassAt != PassBefore;
+  // A pass that proposed nothing has nothing to wait for.
+  if (m_Proposals.empty())
+    m_PassProposed = false;
+  expireFetches(State, Now);
+  logGuarantees();
+}
+
+void LeaderHost::onCallReply(const control::CallReply &Reply,
+                             const control::State &State, core::Time Now) {
+  m_Counters.add("fireflydrift_target_calls_total", 1,
+                 std::string("outcome=\"") +
+                     control::toString(Reply.m_Outcome) + "\"");
+  if (Reply.m_Outcome != control::CallOutcome::Accepted)
+    logEvent(Event::TargetCallFailed,
+             {{"target", Reply.m_Target.text()},
+              {"verb", control::toString(Reply.m_Verb)},
+              {"job", core::toString(Reply.m_Lease.m_Job)},
+              {"attempt", std::to_string(Reply.m_Lease.m_Attempt)},
+              {"outcome", control::toString(Reply.m_Outcome)}});
+  if (m_Leader)
+    carryOut(
+        control::afterCall(*std::move(m_Leader), State, Reply, m_Options, Now));
+}
+
+bool LeaderHost::told(const core::VmId &Entry,
+                      const routing::SignsSummary &Value, core::Time Now) {
+  if (!m_Leader)
+    return false;
+  routing::Told Next = routing::told(std::move(m_Leader->m_Signs), Entry, Value,
+                                     m_Options.m_Signs, Now);
+  m_Leader->m_Signs = std::move(Next.m_Signs);
+  return Next.m_NeedsFull;
+}
+
+// ---- Events ----------------------------------------------------------------
+
+static Event eventFor(placement::Verdict Value) {
+  switch (Value) {
+  case placement::Verdict::Placed:
+    return Event::JobPlaced;
+  case placement::Verdict::Waiting:
+    return Event::JobWaiting;
+  case placement::Verdict::Reclaiming:
+    return Event::JobReclaiming;
+  case placement::Verdict::Refused:
+    return Event::JobRefused;
+  }
+  return Event::JobWaiting;
+}
+
+void LeaderHost::logNews(const placement::Decision &Value) {
+  m_Counters.add("fireflydrift_placements_total", 1,
+                 std::string("verdict=\"") +
+                     placement::toString(Value.m_Verdict) + "\"");
+  logEvent(eventFor(Value.m_Verdict),
+           {{"decision", placement::toString(Value)}});
+}
+
+void LeaderHost::logChanges(const control::Applied &Result,
+                            const control::State &State) {
+  for (const control::Change &Each : Result.m_Changes) {
+    const job::Job *Job = control::findJob(State, Each.m_Job);
+    if (!Job)
+      continue;
+    bool Accepted =
+        Each.m_To == job::Phase::Queued && Each.m_From == job::Phase::Queued;
+    Fields Details{{"job", core::toString(Each.m_Job)},
+                   {"attempt", std::to_string(Job->fields().m_Attempt)}};
+    if (Accepted) {
+      logEvent(Event::JobAccepted, Details);
+    } else if (Each.m_To == job::Phase::Stopping) {
+      Details.emplace_back("cause", job::toString(Job->fields().m_StopCause));
+      logEvent(Event::JobStopping, Details);
+    } else if (Job->isFinished()) {
+      Details.emplace_back("outcome", job::outcomeName(Job->phase()));
+      Details.emplace_back("reason", core::toString(Job->fields().m_Reason));
+      logEvent(Event::JobFinished, Details);
+    }
+  }
+}
+
+void LeaderHost::logGuarantees() {
+  std::set<placement::GuaranteeKey> Missing(
+      m_Leader->m_Witnesses.m_Missing.begin(),
+      m_Leader->m_Witnesses.m_Missing.end());
+  if (Missing == m_Missing)
+    return;
+  auto Log = [](Event Value, const placement::GuaranteeKey &Key) {
+    logEvent(Value, {{"workspace", Key.m_Workspace.text()},
+                     {"guarantee", Key.m_Name}});
+  };
+  for (const placement::GuaranteeKey &Each : Missing)
+    if (!m_Missing.contains(Each))
+      Log(Event::GuaranteeMissing, Each);
+  for (const placement::GuaranteeKey &Each : m_Missing)
+    if (!Missing.contains(Each))
+      Log(Event::GuaranteeRestored, Each);
+  m_Missing = std::move(Missing);
+  m_Counters.set("fireflydrift_missing_guarantees", m_Missing.size());
+}
+
+} // namespace fireflydrift::runtime
--- /dev/null
+++ b/packages/runtime/links.cpp
@@ -0,0 +1,371 @@
+#include "runtime/links.h"
+
+#include "runtime/address.h"
+#include "runtime/h2o_api.h"
+
+#include <array>
+#include <cstring>
+#include <deque>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace fireflydrift::runtime {
+
+// Four bytes of length stand before each message.
+static constexpr std::size_t FrameHeader = sizeof(std::uint32_t);
+// Sent back for each frame that arrived.
+static constexpr char AckByte = '\x06';
+static constexpr std::size_t MaxDatagram = 1400;
+
+namespace {
+
+// The outgoing connection to one VM.
+struct Outgoing {
+  membership::VmAddress m_Address;
+  h2o_socket_t *m_Socket = nullptr;
+  bool m_Connected = false;
+  bool m_Writing = false;
+  std::string m_InWrite;
+  std::string m_Queue;
+  // When each frame that is not acknowledged yet was queued.
+  std::deque<core::Time> m_Unacknowledged;
+  core::Time m_OpenedAt;
+  core::Time m_RetryAt;
+  LinkTraffic m_Traffic;
+  Loop *m_Loop = nullptr;
+};
+
+// A connection that another VM opened.
+struct Incoming {
+  Links::OnMessage *m_OnMessage = nullptr;
+  std::map<core::VmId, Outgoing> *m_Peers = nullptr;
+  h2o_socket_t *m_Socket = nullptr;
+  bool m_Writing = false;
+  std::string m_InWrite;
+  std::size_t m_AcksDue = 0;
+  // Set when the stream can't be read any further while a write goes on.
+  bool m_Broken = false;
+};
+
+} // namespace
+
+struct Links::Impl {
+  Loop &m_Loop;
+  core::VmId m_Self;
+  membership::VmAddress m_Own;
+  LinkOptions m_Options;
+  OnMessage m_OnMessage;
+  OnBeat m_OnBeat;
+  std::map<core::VmId, Outgoing> m_Peers;
+  h2o_socket_t *m_Listener = nullptr;
+  h2o_socket_t *m_Datagrams = nullptr;
+
+  static void onAccept(h2o_socket_t *Listener, const char *Error);
+  static void onDatagram(h2o_socket_t *Socket, const char *Error);
+};
+
+// ---- Outgoing connections --------------------------------------------------
+
+static void closeOutgoing(Outgoing &Peer, core::Duration RetryAfter) {
+  if (Peer.m_Socket)
+    h2o_socket_close(std::exchange(Peer.m_Socket, nullptr));
+  Peer.m_Connected = false;
+  Peer.m_Writing = false;
+  Peer.m_Queue.clear();
+  Peer.m_Unacknowledged.clear();
+  Peer.m_RetryAt = Peer.m_Loop->now() + RetryAfter;
+}
+
+static void writeQueued(Outgoing &Peer);
+
+static void onWritten(h2o_socket_t *Socket, const char *Error) {
+  auto &Peer = *static_cast<Outgoing *>(Socket->data);
+  Peer.m_Writing = false;
+  if (Error)
+    closeOutgoing(Peer, core::Duration(0));
+  else
+    writeQueued(Peer);
+}
+
+static void writeQueued(Outgoing &Peer) {
+  if (!Peer.m_Connected || Peer.m_Writing || Peer.m_Queue.empty())
+    return;
+  Peer.m_InWrite = std::exchange(Peer.m_Queue, {});
+  Peer.m_Writing = true;
+  h2o_iovec_t Buffer =
+      h2o_iovec_init(Peer.m_InWrite.data(), Peer.m_InWrite.size());
+  h2o_socket_write(Peer.m_Socket, &Buffer, 1, onWritten);
+}
+
+static void onAcks(h2o_socket_t *Socket, const char *Error) {
+  auto &Peer = *static_cast<Outgoing *>(Socket->data);
+  if (Error) {
+    closeOutgoing(Peer, core::Duration(0));
+    return;
+  }
+  std::size_t Acks =
+      std::min(Socket->input->size, Peer.m_Unacknowledged.size());
+  Peer.m_Traffic.m_BytesIn += Socket->input->size;
+  h2o_buffer_consume(&Socket->input, Socket->input->size);
+  Peer.m_Unacknowledged.erase(Peer.m_Unacknowledged.begin(),
+                              Peer.m_Unacknowledged.begin() +
+                                  static_cast<std::ptrdiff_t>(Acks));
+}
+
+static void setNoDelay(h2o_socket_t *Socket) {
+  int On = 1;
+  setsockopt(h2o_socket_get_fd(Socket), IPPROTO_TCP, TCP_NODELAY, &On,
+             sizeof(On));
+}
+
+static void onConnected(h2o_socket_t *Socket, const char *Error) {
+  auto &Peer = *static_cast<Outgoing *>(Socket->data);
+  if (Error) {
+    constexpr core::Duration RefusedRetry{200};
+    closeOutgoing(Peer, RefusedRetry);
+    return;
+  }
+  setNoDelay(Socket);
+  Peer.m_Connected = true;
+  h2o_socket_read_start(Socket, onAcks);
+  writeQueued(Peer);
+}
+
+static void openOutgoing(Outgoing &Peer, core::Time Now) {
+  auto Address = toAddress(Peer.m_Address.m_Host, Peer.m_Address.m_Port);
+  if (!Address || Now < Peer.m_RetryAt)
+    return;
+  Peer.m_Socket = h2o_socket_connect(
+      Peer.m_Loop->raw(),
+      reinterpret_cast<sockaddr *>(const_cast<sockaddr_in *>(&*Address)),
+      sizeof(sockaddr_in), onConnected);
+  if (!Peer.m_Socket)
+    return;
+  Peer.m_Socket->data = &Peer;
+  Peer.m_OpenedAt = Now;
+}
+
+// ---- Incoming connections --------------------------------------------------
+
+static void writeAcks(Incoming &From);
+
+static void closeIncoming(Incoming *From) {
+  h2o_socket_close(From->m_Socket);
+  delete From;
+}
+
+static void onAcksWritten(h2o_socket_t *Socket, const char *Error) {
+  auto *From = static_cast<Incoming *>(Socket->data);
+  From->m_Writing = false;
+  if (Error || From->m_Broken)
+    closeIncoming(From);
+  else
+    writeAcks(*From);
+}
+
+static void writeAcks(Incoming &From) {
+  if (From.m_Writing || From.m_AcksDue == 0)
+    return;
+  From.m_InWrite.assign(std::exchange(From.m_AcksDue, 0), AckByte);
+  From.m_Writing = true;
+  h2o_iovec_t Buffer =
+      h2o_iovec_init(From.m_InWrite.data(), From.m_InWrite.size());
+  h2o_socket_write(From.m_Socket, &Buffer, 1, onAcksWritten);
+}
+
+// Takes whole frames off the input. Returns false when the stream is broken.
+static bool readFrames(Incoming &From,
+                       std::vector<messages::Envelope> &Arrived) {
+  h2o_socket_t *Socket = From.m_Socket;
+  while (Socket->input->size >= FrameHeader) {
+    std::uint32_t Length = 0;
+    std::memcpy(&Length, Socket->input->bytes, FrameHeader);
+    if (Length > messages::MaxEncodedBytes)
+      return false;
+    if (Socket->input->size < FrameHeader + Length)
+      return true;
+    auto Decoded = messages::decodeEnvelope(
+        std::string_view(Socket->input->bytes + FrameHeader, Length));
+    if (!Decoded)
+      return false;
+    auto Peer = From.m_Peers->find(Decoded->m_From);
+    if (Peer == From.m_Peers->end())
+      return false;
+    Peer->second.m_Traffic.m_BytesIn += FrameHeader + Length;
+    ++Peer->second.m_Traffic.m_FramesIn;
+    ++From.m_AcksDue;
+    Arrived.push_back(*std::move(Decoded));
+    h2o_buffer_consume(&Socket->input, FrameHeader + Length);
+  }
+  return true;
+}
+
+static void onFrames(h2o_socket_t *Socket, const char *Error) {
+  auto *From = static_cast<Incoming *>(Socket->data);
+  std::vector<messages::Envelope> Arrived;
+  if (Error || !readFrames(*From, Arrived)) {
+    // The end of a write under way closes the connection.
+    From->m_Broken = true;
+    if (From->m_Writing)
+      h2o_socket_read_stop(Socket);
+    else
+      closeIncoming(From);
+    return;
+  }
+  writeAcks(*From);
+  Links::OnMessage &Handle = *From->m_OnMessage;
+  for (messages::Envelope &Each : Arrived)
+    Handle(std::move(Each));
+}
+
+// ---- Links -----------------------------------------------------------------
+
+Links::Links(Loop &On, core::VmId Self, std::vector<membership::VmAddress> Vms,
+             LinkOptions Options)
+    : m_Impl(new Impl{
+          .m_Loop = On, .m_Self = std::move(Self), .m_Options = Options}) {
+  for (membership::VmAddress &Each : Vms) {
+    if (Each.m_Id == m_Impl->m_Self) {
+      m_Impl->m_Own = std::move(Each);
+      continue;
+    }
+    Outgoing &Peer = m_Impl->m_Peers[Each.m_Id];
+    Peer.m_Address = std::move(Each);
+    Peer.m_Loop = &On;
+  }
+}
+
+Links::~Links() = default;
+
+core::Outcome<bool> Links::listen(OnMessage Message, OnBeat Beat) {
+  m_Impl->m_OnMessage = std::move(Message);
+  m_Impl->m_OnBeat = std::move(Beat);
+  // A VM without others needs no address of its own.
+  if (m_Impl->m_Peers.empty())
+    return true;
+  auto Stream = openListener(m_Impl->m_Own.m_Host, m_Impl->m_Own.m_Port);
+  if (!Stream)
+    return Stream.reason();
+  auto Datagrams =
+      openDatagramSocket(m_Impl->m_Own.m_Host, m_Impl->m_Own.m_Port);
+  if (!Datagrams)
+    return Datagrams.reason();
+  m_Impl->m_Listener = h2o_evloop_socket_create(m_Impl->m_Loop.raw(), *Stream,
+                                                H2O_SOCKET_FLAG_DONT_READ);
+  m_Impl->m_Listener->data = m_Impl.get();
+  h2o_socket_read_start(m_Impl->m_Listener, Impl::onAccept);
+  m_Impl->m_Datagrams = h2o_evloop_socket_create(
+      m_Impl->m_Loop.raw(), *Datagrams, H2O_SOCKET_FLAG_DONT_READ);
+  m_Impl->m_Datagrams->data = m_Impl.get();
+  h2o_socket_read_start(m_Impl->m_Datagrams, Impl::onDatagram);
+  return true;
+}
+
+void Links::Impl::onAccept(h2o_socket_t *Listener, const char *Error) {
+  auto *Self = static_cast<Impl *>(Listener->data);
+  if (Error)
+    return;
+  while (h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener)) {
+    setNoDelay(Socket);
+    auto *From = new Incoming{.m_OnMessage = &Self->m_OnMessage,
+                              .m_Peers = &Self->m_Peers,
+                              .m_Socket = Socket};
+    Socket->data = From;
+    h2o_socket_read_start(Socket, onFrames);
+  }
+}
+
+void Links::Impl::onDatagram(h2o_socket_t *Socket, const char *Error) {
+  auto *Self = static_cast<Impl *>(Socket->data);
+  if (Error)
+    return;
+  std::array<char, MaxDatagram> Buffer{};
+  while (true) {
+    ssize_t Count =
+        recv(h2o_socket_get_fd(Socket), Buffer.data(), Buffer.size(), 0);
+    if (Count < 0)
+      return;
+    auto Decoded = messages::decodeBeat(
+        std::string_view(Buffer.data(), static_cast<std::size_t>(Count)));
+    if (!Decoded)
+      continue;
+    auto Peer = Self->m_Peers.find(Decoded->m_From);
+    if (Peer == Self->m_Peers.end())
+      continue;
+    Peer->second.m_Traffic.m_BytesIn += static_cast<std::uint64_t>(Count);
+    Self->m_OnBeat(*std::move(Decoded));
+  }
+}
+
+std::map<core::VmId, LinkTraffic> Links::traffic() const {
+  std::map<core::VmId, LinkTraffic> All;
+  for (const auto &[Vm, Peer] : m_Impl->m_Peers)
+    All.emplace(Vm, Peer.m_Traffic);
+  return All;
+}
+
+void Links::send(const core::VmId &To, const messages::Body &Value) {
+  auto Found = m_Impl->m_Peers.find(To);
+  if (Found == m_Impl->m_Peers.end())
+    return;
+  Outgoing &Peer = Found->second;
+  std::string Encoded = messages::encode(
+      messages::Envelope{.m_From = m_Impl->m_Self, .m_Body = Value});
+  bool TooMuch =
+      Peer.m_Queue.size() + Encoded.size() > m_Impl->m_Options.m_MaxQueuedBytes;
+  // Nothing is kept for a VM that can't be reached.
+  if (TooMuch || !Peer.m_Socket) {
+    ++Peer.m_Traffic.m_Dropped;
+    return;
+  }
+  auto Length = static_cast<std::uint32_t>(Encoded.size());
+  std::array<char, FrameHeader> Header{};
+  std::memcpy(Header.data(), &Length, FrameHeader);
+  Peer.m_Queue.append(Header.data(), Header.size()).append(Encoded);
+  Peer.m_Unacknowledged.push_back(m_Impl->m_Loop.now());
+  Peer.m_Traffic.m_BytesOut += FrameHeader + Length;
+  ++Peer.m_Traffic.m_FramesOut;
+  writeQueued(Peer);
+}
+
+void Links::sendBeat(const core::VmId &To, const membership::Beat &Value) {
+  auto Found = m_Impl->m_Peers.find(To);
+  if (Found == m_Impl->m_Peers.end() || !m_Impl->m_Datagrams)
+    return;
+  Outgoing &Peer = Found->second;
+  auto Address = toAddress(Peer.m_Address.m_Host, Peer.m_Address.m_Port);
+  if (!Address)
+    return;
+  std::string Encoded = messages::encode(Value);
+  // A datagram that can't be sent is as good as one that was lost.
+  (void)sendto(h2o_socket_get_fd(m_Impl->m_Datagrams), Encoded.data(),
+               Encoded.size(), MSG_DONTWAIT,
+               reinterpret_cast<const sockaddr *>(&*Address),
+               sizeof(sockaddr_in));
+  Peer.m_Traffic.m_BytesOut += Encoded.size();
+}
+
+void Links::renew(const core::VmId &To) {
+  auto Found = m_Impl->m_Peers.find(To);
+  if (Found == m_Impl->m_Peers.end() || !Found->second.m_Socket)
+    return;
+  ++Found->second.m_Traffic.m_SilentConnections;
+  closeOutgoing(Found->second, core::Duration(0));
+}
+
+void Links::maintain(core::Time Now) {
+  const LinkOptions &Options = m_Impl->m_Options;
+  for (auto &[Vm, Peer] : m_Impl->m_Peers) {
+    bool Connecting = Peer.m_Socket && !Peer.m_Connected;
+    if (Connecting && Now - Peer.m_OpenedAt >= Options.m_ConnectTimeout)
+      closeOutgoing(Peer, Options.m_ReconnectAfter);
+    bool Silent = Peer.m_Connected && !Peer.m_Unacknowledged.empty() &&
+                  Now - Peer.m_Unacknowledged.front() >= Options.m_SilentAfter;
+    if (Silent)
+      renew(Vm);
+    if (!Peer.m_Socket)
+      openOutgoing(Peer, Now);
+  }
+}
+
+} // namespace fireflydrift::runtime
--- /dev/null
+++ b/packages/runtime/links.h
@@ -0,0 +1,68 @@
+// Connections to the system's other VMs: TCP for messages, UDP for signs of
+// life.
+#ifndef FIREFLYDRIFT_RUNTIME_LINKS_H
+#define FIREFLYDRIFT_RUNTIME_LINKS_H
+
+#include "messages/codec.h"
+#include "runtime/loop.h"
+
+namespace fireflydrift::runtime {
+
+struct LinkOptions {
+  // A frame that the other end did not acknowledge for this long means that
+  // the connection has gone silent; a fresh one is opened.
+  core::Duration m_SilentAfter{1500};
+  core::Duration m_ConnectTimeout{1000};
+  core::Duration m_ReconnectAfter{200};
+  // Bytes that may wait for one VM; what comes on top is dropped, because
+  // every message is sent again by whoever needs it.
+  std::size_t m_MaxQueuedBytes = 64 * 1024 * 1024;
+
+  friend bool operator==(const LinkOptions &, const LinkOptions &) = default;
+};
+
+// What the links have carried, by the other VM.
+struct LinkTraffic {
+  std::uint64_t m_BytesOut = 0;
+  std::uint64_t m_BytesIn = 0;
+  std::uint64_t m_FramesOut = 0;
+  std::uint64_t m_FramesIn = 0;
+  std::uint64_t m_SilentConnections = 0;
+  std::uint64_t m_Dropped = 0;
+
+  friend bool operator==(const LinkTraffic &, const LinkTraffic &) = default;
+};
+
+// Sends to and receives from the VMs that settings name.
+class Links {
+public:
+  using OnMessage = std::function<void(messages::Envelope)>;
+  using OnBeat = std::function<void(membership::Beat)>;
+
+  Links(Loop &On, core::VmId Self, std::vector<membership::VmAddress> Vms,
+        LinkOptions Options);
+  ~Links();
+  Links(const Links &) = delete;
+  Links &operator=(const Links &) = delete;
+
+  // Binds the VM's own address. Fails with Io.
+  [[nodiscard]] core::Outcome<bool> listen(OnMessage Message, OnBeat Beat);
+
+  [[nodiscard]] std::map<core::VmId, LinkTraffic> traffic() const;
+
+  // Queues a message; it is lost if the connection breaks.
+  void send(const core::VmId &To, const messages::Body &Value);
+  void sendBeat(const core::VmId &To, const membership::Beat &Value);
+  // Closes the connection to a VM so that the next message opens another.
+  void renew(const core::VmId &To);
+  // Opens, gives up and reopens connections as their times are over.
+  void maintain(core::Time Now);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace fireflydrift::runtime
+
+#endif // FIREFLYDRIFT_RUNTIME_LINKS_H
--- /dev/null
+++ b/packages/runtime/node.cpp
@@ -0,0 +1,389 @@
+#include "runtime/node.h"
+
+#include "runtime/events.h"
+
+#include <random>
+
+namespace fireflydrift::runtime {
+
+static constexpr core::Duration TickEvery{25};
+
+static EntryOptions entryOptions(const Settings &Values) {
+  return {.m_Admission = Values.m_Admission,
+          .m_Retry = {.m_Seed = Values.m_Replica.m_Seed},
+          .m_Signs = Values.m_Leader.m_Signs,
+          .m_Deadline = Values.m_OperationDeadline,
+          .m_Lease = Values.m_Leader.m_Dispatch.m_Lease};
+}
+
+Node::Node(Loop &On, Settings Values)
+    : m_Loop(On), m_Settings(std::move(Values)),
+      m_Links(On, m_Settings.m_Self.m_Id, m_Settings.m_Vms, LinkOptions()),
+      m_Client(On), m_Membership(m_Settings.m_Self.m_Id, m_Settings.m_Vms),
+      m_Entry(entryOptions(m_Settings), m_Counters,
+              [this](const core::VmId &To, messages::Body Value) {
+                sendTo(To, std::move(Value));
+              }),
+      m_LeaderHost(m_Settings.m_Leader, m_Counters, makeHooks()) {}
+
+// ---- Starting --------------------------------------------------------------
+
+static ReplicaHostOptions replicaOptions(const Settings &Values) {
+  std::set<core::VmId> Replicas;
+  for (const membership::VmAddress &Each : Values.m_Vms)
+    if (Each.m_Replica)
+      Replicas.insert(Each.m_Id);
+  std::random_device Random;
+  std::uint64_t Incarnation =
+      (static_cast<std::uint64_t>(Random()) << 32U | Random()) | 1U;
+  return {.m_DataFolder = Values.m_DataFolder,
+          .m_SnapshotEvery = Values.m_SnapshotEvery,
+          .m_Identity = {.m_Self = Values.m_Self.m_Id,
+                         .m_Region = Values.m_Self.m_Region,
+                         .m_FailureDomain = Values.m_Self.m_FailureDomain,
+                         .m_Configured = std::move(Replicas)},
+          .m_Replica = Values.m_Replica,
+          .m_NewIncarnation = Incarnation};
+}
+
+core::Outcome<bool> Node::start() {
+  if (m_Settings.m_Self.m_Replica) {
+    auto Opened = ReplicaHost::open(
+        replicaOptions(m_Settings),
+        [this](const core::VmId &To, replica::Message Value) {
+          sendTo(To, messages::ReplicaMessage{std::move(Value)});
+        },
+        [this](std::uint64_t Index, const control::Applied &Result) {
+          onApplied(Index, Result);
+        },
+        now());
+    if (!Opened)
+      return Opened.reason();
+    m_Replica.emplace(*std::move(Opened));
+    const Found &Content = m_Replica->found();
+    logEvent(Event::RecoveredFromDisk,
+             {{"records", std::to_string(Content.m_Records)},
+              {"torn_bytes", std::to_string(Content.m_TornBytes)},
+              {"last_index",
+               std::to_string(m_Replica->replica().m_Log.lastIndex())}});
+  }
+  return m_Links.listen(
+      [this](messages::Envelope Value) { onMessage(std::move(Value)); },
+      [this](const membership::Beat &Value) { onBeat(Value); });
+}
+
+// ---- Observation -----------------------------------------------------------
+
+bool Node::leads(core::Time Now) const {
+  return m_Replica && m_LeaderHost.isLeading() &&
+         m_Replica->diskFailure().m_Code == core::ReasonCode::None &&
+         replica::holdsLease(m_Replica->replica(), Now);
+}
+
+std::uint64_t Node::configurationVersion() const {
+  return m_Replica ? m_Replica->state().m_Tables.m_Configuration.version()
+                   : m_KnownVersion;
+}
+
+core::VmId Node::leader(core::Time Now) const {
+  if (leads(Now))
+    return m_Settings.m_Self.m_Id;
+  if (m_Replica && !m_Replica->replica().m_Leader.empty() &&
+      m_Replica->replica().m_Leader != m_Settings.m_Self.m_Id)
+    return m_Replica->replica().m_Leader;
+  core::VmId Named = m_Membership.leader(Now, m_Detection);
+  return Named == m_Settings.m_Self.m_Id ? core::VmId() : Named;
+}
+
+bool Node::isHealthy() const {
+  bool DiskWorks =
+      !m_Replica || m_Replica->diskFailure().m_Code == core::ReasonCode::None;
+  return DiskWorks && !m_Entry.admission().m_Draining;
+}
+
+bool Node::isDrained(core::Time Now) const {
+  if (!m_Entry.admission().m_Draining)
+    return false;
+  bool Idle = m_Entry.held() == 0 && m_LeaderHost.waiting() == 0;
+  return Idle || Now - m_DrainingSince >= m_Settings.m_DrainWithin;
+}
+
+std::string Node::metricsText() {
+  core::Time Now = now();
+  m_Counters.set("fireflydrift_configuration_version", configurationVersion());
+  m_Counters.set("fireflydrift_held_requests", m_Entry.held());
+  m_Counters.set("fireflydrift_leader", leads(Now) ? 1 : 0);
+  if (m_Replica) {
+    const control::State &State = m_Replica->state();
+    m_Counters.set("fireflydrift_term", m_Replica->replica().m_Hard.m_Term);
+    m_Counters.set("fireflydrift_log_entries",
+                   m_Replica->replica().m_Log.size());
+    m_Counters.set("fireflydrift_journal_bytes_total",
+                   m_Replica->journal().bytesWritten());
+    m_Counters.set("fireflydrift_journal_syncs_total",
+                   m_Replica->journal().syncs());
+    control::StatusView Status = control::statusOf(State, {}, Now);
+    for (const auto &[Outcome, Count] : Status.m_JobsByOutcome)
+      m_Counters.set("fireflydrift_jobs", Count, "outcome=\"" + Outcome + "\"");
+    m_Counters.set("fireflydrift_free_accelerators",
+                   static_cast<std::uint64_t>(Status.m_FreeAccelerators));
+  }
+  for (const auto &[Vm, Each] : m_Links.traffic()) {
+    std::string Label = "vm=\"" + Vm.text() + "\"";
+    m_Counters.set("fireflydrift_link_bytes_in_total", Each.m_BytesIn, Label);
+    m_Counters.set("fireflydrift_link_bytes_out_total", Each.m_BytesOut, Label);
+    m_Counters.set("fireflydrift_link_dropped_total", Each.m_Dropped, Label);
+    m_Counters.set("fireflydrift_link_silent_total", Each.m_SilentConnections,
+                   Label);
+  }
+  return m_Counters.text();
+}
+
+void Node::completeStatus(control::StatusView &Into) const {
+  core::Time Now = now();
+  const replica::Replica &Self = m_Replica->replica();
+  Into.m_Leader = Self.m_Self;
+  Into.m_Term = Self.m_Hard.m_Term;
+  Into.m_Commit = Self.m_Commit;
+  const replica::Members &Members =
+      Self.m_Log.membersAt(Self.m_Log.lastIndex());
+  for (const auto &[Vm, Known] : m_Membership.contacts()) {
+    control::VmStatus Status{
+        .m_Vm = Vm,
+        .m_Liveness =
+            membership::toString(m_Membership.liveness(Vm, Now, m_Detection)),
+        .m_Role = "entry",
+        .m_ConfigurationVersion = Known.m_ConfigurationVersion};
+    if (Vm == Self.m_Self) {
+      Status.m_ConfigurationVersion = Into.m_ConfigurationVersion;
+      Status.m_Role = "leader";
+    } else if (const replica::Member *Member = Members.find(Vm)) {
+      Status.m_Role = Member->m_Voter ? "voter" : "learner";
+      auto Progress = Self.m_Progress.find(Vm);
+      if (Progress != Self.m_Progress.end())
+        Status.m_EntriesBehind =
+            Self.m_Commit - std::min(Self.m_Commit, Progress->second.m_Match);
+    }
+    if (Status.m_ConfigurationVersion < Into.m_ConfigurationVersion)
+      Status.m_Behind = Status.m_Liveness == "alive"
+                            ? "has not confirmed the newest version yet"
+                            : "has not been heard: " + Status.m_Liveness;
+    Into.m_Vms.push_back(std::move(Status));
+  }
+}
+
+// ---- Messages --------------------------------------------------------------
+
+void Node::sendTo(const core::VmId &To, messages::Body Value) {
+  if (To != m_Settings.m_Self.m_Id) {
+    m_Links.send(To, Value);
+    return;
+  }
+  std::visit([&](auto &Typed) { handle(To, Typed); }, Value);
+}
+
+void Node::onMessage(messages::Envelope Value) {
+  m_Membership = m_Membership.heardFrame(Value.m_From, now());
+  std::visit([&](auto &Typed) { handle(Value.m_From, Typed); }, Value.m_Body);
+}
+
+void Node::handle(const core::VmId &From, messages::ReplicaMessage &Value) {
+  if (m_Replica)
+    m_Replica->feed(replica::Received{.m_From = From,
+                                      .m_Message = std::move(Value.m_Message)},
+                    now());
+}
+
+void Node::handle(const core::VmId &From, messages::ForwardOperation &Value) {
+  Origin Asker{.m_Vm = From, .m_Id = Value.m_Id};
+  core::Time Now = now();
+  if (leads(Now))
+    m_LeaderHost.decide(Asker, Value.m_Operation, m_Replica->state(), Now);
+  else
+    sendTo(From, messages::NotLeader{.m_Id = Value.m_Id});
+}
+
+void Node::handle(const core::VmId &, messages::OperationReply &Value) {
+  m_Entry.complete(Value.m_Id, std::move(Value.m_Reply));
+}
+
+void Node::handle(const core::VmId &, messages::NotLeader &Value) {
+  m_Entry.bounced(Value.m_Id, now());
+}
+
+void Node::handle(const core::VmId &From, messages::TellSigns &Value) {
+  if (m_LeaderHost.told(From, Value.m_Summary, now()))
+    sendTo(From, messages::AskSigns{});
+}
+
+void Node::handle(const core::VmId &, messages::AskSigns &) {
+  m_Entry.askedForSigns();
+}
+
+void Node::onBeat(const membership::Beat &Value) {
+  core::Time Now = now();
+  m_Membership = m_Membership.heardDatagram(Value, Now);
+  if (!Value.m_HoldsLease)
+    return;
+  m_NewestVersion = std::max(m_NewestVersion, Value.m_ConfigurationVersion);
+  // Only a VM whose configuration the leader confirms may go on deciding.
+  if (configurationVersion() >= Value.m_ConfigurationVersion)
+    m_Entry.heardLeader(Now);
+}
+
+// ---- Leading ---------------------------------------------------------------
+
+LeaderHooks Node::makeHooks() {
+  return {
+      .m_Propose =
+          [this](const control::Batch &Value) {
+            m_Replica->feed(
+                replica::Propose{.m_Commands = messages::encode(Value)}, now());
+            return m_Replica->replica().m_Log.lastIndex();
+          },
+      .m_Call = [this](const control::Call &Value) { callTarget(Value); },
+      .m_Reply =
+          [this](const Origin &To, control::Reply Value) {
+            sendTo(To.m_Vm, messages::OperationReply{
+                                .m_Id = To.m_Id, .m_Reply = std::move(Value)});
+          },
+      .m_Bounce =
+          [this](const Origin &To) {
+            sendTo(To.m_Vm, messages::NotLeader{.m_Id = To.m_Id});
+          },
+      .m_CompleteStatus =
+          [this](control::StatusView &Into) { completeStatus(Into); }};
+}
+
+void Node::callTarget(const control::Call &Value) {
+  HttpCall Request{.m_Method = "POST",
+                   .m_Host = Value.m_Host,
+                   .m_Port = Value.m_Port,
+                   .m_Path =
+                       std::string("/v1/") + control::toString(Value.m_Verb),
+                   .m_Body = messages::encodeCall(Value)};
+  control::CallReply Reply{.m_Verb = Value.m_Verb,
+                           .m_Target = Value.m_Target,
+                           .m_Lease = Value.m_Lease};
+  m_Client.send(Request, [this, Reply](std::optional<HttpAnswer> Answer) {
+    control::CallReply Filled = Reply;
+    if (Answer)
+      Filled.m_Outcome = messages::decodeCallOutcome(Answer->m_Body);
+    if (m_Replica)
+      m_LeaderHost.onCallReply(Filled, m_Replica->state(), now());
+  });
+}
+
+void Node::onApplied(std::uint64_t Index, const control::Applied &Result) {
+  m_Counters.add("fireflydrift_commits_total");
+  std::uint64_t Version = configurationVersion();
+  if (Version != m_LoggedVersion) {
+    m_LoggedVersion = Version;
+    logEvent(Event::ConfigurationInForce,
+             {{"version", std::to_string(Version)}});
+  }
+  m_LeaderHost.onApplied(Index, Result, m_Replica->state(), now());
+}
+
+void Node::followRole(core::Time Now) {
+  const replica::Replica &Self = m_Replica->replica();
+  if (Self.m_Role != m_LastRole || Self.m_Leader != m_LastLeader) {
+    m_LastRole = Self.m_Role;
+    m_LastLeader = Self.m_Leader;
+    logEvent(Event::RoleChanged, {{"role", replica::toString(Self.m_Role)},
+                                  {"term", std::to_string(Self.m_Hard.m_Term)},
+                                  {"leader", Self.m_Leader.text()}});
+  }
+  bool Leads = replica::holdsLease(Self, Now);
+  if (Leads && !m_LeaderHost.isLeading())
+    m_LeaderHost.begin(m_Replica->state(), Now);
+  // A leader that only lost its lease keeps its working state, and acts again
+  // if the lease comes back before another is elected.
+  if (Self.m_Role != replica::Role::Leader && m_LeaderHost.isLeading())
+    m_LeaderHost.end();
+}
+
+// ---- Turns -----------------------------------------------------------------
+
+void Node::turnReplica(core::Time Now) {
+  if (Now - m_TickAt >= TickEvery) {
+    m_TickAt = Now;
+    m_Replica->feed(replica::Tick{}, Now);
+  }
+  m_Replica->flush(Now);
+  followRole(Now);
+  if (!leads(Now))
+    return;
+  m_LeaderHost.turn(m_Replica->state(), Now);
+  m_LeaderHost.flush(Now);
+  m_Replica->flush(Now);
+}
+
+void Node::turnBeats(core::Time Now) {
+  bool Leads = leads(Now);
+  if (Leads)
+    m_Entry.heardLeader(Now);
+  if (Now - m_BeatAt < m_Settings.m_BeatEvery)
+    return;
+  m_BeatAt = Now;
+  membership::Beat Value{
+      .m_From = m_Settings.m_Self.m_Id,
+      .m_ConfigurationVersion = configurationVersion(),
+      .m_Draining = m_Entry.admission().m_Draining,
+      .m_Leader = m_Replica ? m_Replica->replica().m_Leader : core::VmId(),
+      .m_Term = m_Replica ? m_Replica->replica().m_Hard.m_Term : 0,
+      .m_HoldsLease = Leads};
+  for (const auto &[Vm, Known] : m_Membership.contacts()) {
+    if (Vm == m_Settings.m_Self.m_Id)
+      continue;
+    m_Links.sendBeat(Vm, Value);
+    // Silence is a fact about a connection before it is one about a VM.
+    bool Expected = m_Replica && m_Replica->replica().m_Leader == Vm;
+    if (Expected && m_Membership.connectionIsSilent(Vm, Now, m_Detection)) {
+      logEvent(Event::ConnectionSilent, {{"vm", Vm.text()}});
+      m_Links.renew(Vm);
+      m_Membership = m_Membership.heardFrame(Vm, Now);
+    }
+  }
+}
+
+void Node::refreshConfiguration(core::Time Now) {
+  if (m_Replica || m_ReadingConfiguration || m_KnownVersion >= m_NewestVersion)
+    return;
+  m_ReadingConfiguration = true;
+  m_Entry.submit(
+      control::ReadConfiguration{}, core::WorkspaceId(),
+      [this](const control::Reply &Value) {
+        m_ReadingConfiguration = false;
+        if (const auto *View = std::get_if<control::ConfigurationView>(&Value))
+          m_KnownVersion = std::max(m_KnownVersion, View->m_Fields.m_Version);
+      },
+      Now);
+}
+
+void Node::turn() {
+  core::Time Now = now();
+  m_Links.maintain(Now);
+  m_Client.expire(Now);
+  if (m_Replica)
+    turnReplica(Now);
+  turnBeats(Now);
+  refreshConfiguration(Now);
+  m_Entry.turn(leader(Now), Now);
+  if (m_Replica) {
+    m_LeaderHost.flush(Now);
+    m_Replica->flush(Now);
+  }
+}
+
+void Node::drain(core::Time Now) {
+  if (m_Entry.admission().m_Draining)
+    return;
+  m_Entry.drain();
+  m_DrainingSince = Now;
+  logEvent(Event::Stopping, {{"held", std::to_string(m_Entry.held())}});
+  if (m_Replica)
+    m_Replica->feed(replica::HandOver{}, Now);
+}
+
+} // namespace fireflydrift::runtime
--- /dev/null
+++ b/packages/runtime/node.h
@@ -0,0 +1,88 @@
+// One VM of the system: entry for callers and targets, and a replica where it
+// has a data folder.
+#ifndef FIREFLYDRIFT_RUNTIME_NODE_H
+#define FIREFLYDRIFT_RUNTIME_NODE_H
+
+#include "runtime/entry.h"
+#include "runtime/http_client.h"
+#include "runtime/leader_host.h"
+#include "runtime/links.h"
+#include "runtime/replica_host.h"
+#include "runtime/settings.h"
+
+namespace fireflydrift::runtime {
+
+// Joins the entry, the replica, the leader's duties and the links of one VM.
+class Node {
+public:
+  Node(Loop &On, Settings Values);
+  Node(const Node &) = delete;
+  Node &operator=(const Node &) = delete;
+
+  // Recovers from disk and opens the links. Fails with Io or Corrupt.
+  [[nodiscard]] core::Outcome<bool> start();
+
+  [[nodiscard]] const Settings &settings() const noexcept { return m_Settings; }
+  [[nodiscard]] Entry &entry() noexcept { return m_Entry; }
+  [[nodiscard]] Counters &counters() noexcept { return m_Counters; }
+  [[nodiscard]] core::Time now() const { return m_Loop.now(); }
+  // True when this VM can serve: it is not draining and its disk works.
+  [[nodiscard]] bool isHealthy() const;
+  // True once a draining VM holds nothing for anyone, or its time is over.
+  [[nodiscard]] bool isDrained(core::Time Now) const;
+  [[nodiscard]] std::string metricsText();
+
+  void drain(core::Time Now);
+  // What is due; called after every round of events.
+  void turn();
+
+private:
+  [[nodiscard]] bool leads(core::Time Now) const;
+  [[nodiscard]] std::uint64_t configurationVersion() const;
+  [[nodiscard]] core::VmId leader(core::Time Now) const;
+  [[nodiscard]] LeaderHooks makeHooks();
+
+  void onMessage(messages::Envelope Value);
+  void onBeat(const membership::Beat &Value);
+  void handle(const core::VmId &From, messages::ReplicaMessage &Value);
+  void handle(const core::VmId &From, messages::ForwardOperation &Value);
+  void handle(const core::VmId &From, messages::OperationReply &Value);
+  void handle(const core::VmId &From, messages::NotLeader &Value);
+  void handle(const core::VmId &From, messages::TellSigns &Value);
+  void handle(const core::VmId &From, messages::AskSigns &Value);
+
+  void sendTo(const core::VmId &To, messages::Body Value);
+  void callTarget(const control::Call &Value);
+  void completeStatus(control::StatusView &Into) const;
+  void onApplied(std::uint64_t Index, const control::Applied &Result);
+  void followRole(core::Time Now);
+  void turnReplica(core::Time Now);
+  void turnBeats(core::Time Now);
+  void refreshConfiguration(core::Time Now);
+
+  Loop &m_Loop;
+  Settings m_Settings;
+  Counters m_Counters;
+  Links m_Links;
+  HttpClient m_Client;
+  membership::Membership m_Membership;
+  membership::DetectionOptions m_Detection;
+  Entry m_Entry;
+  LeaderHost m_LeaderHost;
+  std::optional<ReplicaHost> m_Replica;
+
+  // Configuration version that a VM without a replica has read.
+  std::uint64_t m_KnownVersion = 0;
+  std::uint64_t m_NewestVersion = 0;
+  std::uint64_t m_LoggedVersion = 0;
+  bool m_ReadingConfiguration = false;
+  replica::Role m_LastRole = replica::Role::Blank;
+  core::VmId m_LastLeader;
+  core::Time m_TickAt;
+  core::Time m_BeatAt;
+  core::Time m_DrainingSince;
+};
+
+} // namespace fireflydrift::runtime
+
+#endif // FIREFLYDRIFT_RUNTIME_NODE_H
--- /dev/null
+++ b/packages/runtime/settings.h
@@ -0,0 +1,54 @@
+// A server's settings, read from an INI file and checked as a whole.
+#ifndef FIREFLYDRIFT_RUNTIME_SETTINGS_H
+#define FIREFLYDRIFT_RUNTIME_SETTINGS_H
+
+#include "control/leader.h"
+#include "membership/membership.h"
+#include "replica/replica.h"
+#include "routing/admission.h"
+#include "runtime/http_server.h"
+
+namespace fireflydrift::runtime {
+
+struct Settings {
+  // This VM, and all VMs of the system with it.
+  membership::VmAddress m_Self;
+  std::vector<membership::VmAddress> m_Vms;
+  // Empty on a VM without a disk of its own.
+  std::string m_DataFolder;
+  std::uint64_t m_SnapshotEvery = 5000;
+  replica::ReplicaOptions m_Replica;
+  HttpServerOptions m_Http;
+  routing::AdmissionOptions m_Admission;
+  control::LeaderOptions m_Leader;
+  core::Duration m_BeatEvery{500};
+  core::Duration m_OperationDeadline{10000};
+  core::Duration m_DrainWithin{20000};
+  std::string m_OperatorTokenFile;
+  std::string m_WorkspaceTokensFile;
+  std::string m_LogLevel = "info";
+  std::string m_LogFile;
+
+  friend bool operator==(const Settings &, const Settings &) = default;
+};
+
+// One key of the settings file and what it means.
+struct SettingInfo {
+  const char *m_Section;
+  const char *m_Key;
+  const char *m_Help;
+};
+
+// All keys, in the order of the reference page. Keys of the section "vms" are
+// the ids of VMs and are not listed.
+[[nodiscard]] const std::vector<SettingInfo> &allSettings();
+
+// Reads settings from text. Fails with InvalidInput: the field is
+// "file:line section.key", the rule says what it broke.
+[[nodiscard]] core::Outcome<Settings> parseSettings(const std::string &Text,
+                                                    const std::string &Name);
+[[nodiscard]] core::Outcome<Settings> readSettings(const std::string &FileName);
+
+} // namespace fireflydrift::runtime
+
+#endif // FIREFLYDRIFT_RUNTIME_SETTINGS_H
--- /dev/null
+++ b/tests/standin/caller.cpp
@@ -0,0 +1,286 @@
+// A stand-in for callers: submits a seeded mix of jobs, follows each to its
+// outcome through any server, and counts what went wrong from what it and the
+// targets saw.
+#include "messages/json.h"
+#include "runtime/http_client.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+#include <random>
+#include <sstream>
+
+using namespace fireflydrift;
+using namespace fireflydrift::runtime;
+using Json = nlohmann::json;
+
+namespace {
+
+struct Options {
+  std::vector<std::pair<std::string, std::uint16_t>> m_Servers;
+  int m_Jobs = 20;
+  int m_Open = 8;
+  unsigned m_Seed = 1;
+  int m_GangPercent = 20;
+  int m_OncePercent = 20;
+  int m_RunMs = 50;
+  std::string m_Starts;
+  std::string m_Label = "demo";
+  int m_TimeoutSeconds = 100;
+};
+
+struct Request {
+  job::JobSpec m_Spec;
+  bool m_Accepted = false;
+  bool m_Done = false;
+  bool m_Wrong = false;
+  std::string m_Outcome;
+  int m_Tries = 0;
+  core::Time m_NextAt;
+  bool m_InFlight = false;
+  core::Time m_SentAt;
+  core::Time m_DoneAt;
+};
+
+class Caller {
+public:
+  Caller(Loop &On, Options Values)
+      : m_Loop(On), m_Options(std::move(Values)), m_Client(On),
+        m_Random(m_Options.m_Seed) {
+    for (int I = 0; I < m_Options.m_Jobs; ++I)
+      m_Requests.push_back(makeRequest(I));
+  }
+
+  [[nodiscard]] bool isDone() const { return m_DoneCount == m_Requests.size(); }
+  [[nodiscard]] const std::vector<Request> &requests() const {
+    return m_Requests;
+  }
+
+  void turn() {
+    core::Time Now = m_Loop.now();
+    m_Client.expire(Now);
+    int Open = 0;
+    for (std::size_t I = m_FirstOpen; I < m_Requests.size(); ++I) {
+      Request &Each = m_Requests[I];
+      if (Each.m_Done) {
+        if (I == m_FirstOpen)
+          ++m_FirstOpen;
+        continue;
+      }
+      if (++Open > m_Options.m_Open)
+        break;
+      if (!Each.m_InFlight && Now >= Each.m_NextAt)
+        send(Each);
+    }
+  }
+
+private:
+  Request makeRequest(int Number) {
+    auto Percent = [this](int Part) {
+      return static_cast<int>(m_Random() % 100) < Part;
+    };
+    bool Gang = Percent(m_Options.m_GangPercent);
+    bool Once = Percent(m_Options.m_OncePercent);
+    std::string Id = m_Options.m_Label + "-" +
+                     std::to_string(m_Options.m_Seed) + "-" +
+                     std::to_string(Number);
+    core::Duration Runs(1 + static_cast<int>(m_Random()) % m_Options.m_RunMs);
+    Runs = core::Duration(std::abs(Runs.count()) + 1);
+    bool Other = Percent(50);
+    return {
+        .m_Spec = {.m_Key = {core::WorkspaceId(Other ? "reports" : "checks"),
+                             core::RequestId(Id)},
+                   .m_Shape = {.m_Tasks = Gang ? 2U + m_Random() % 7U : 1U,
+                               .m_PerTask = {1, 1, 64},
+                               .m_Adjacency = Gang ? core::Adjacency::Required
+                                                   : core::Adjacency::None},
+                   .m_RunTime = Runs,
+                   .m_Idempotent = !Once,
+                   .m_Labels = core::Labels(std::map<std::string, std::string>{
+                       {"kind", Gang ? "report" : "check"}}),
+                   .m_Body = Id + " run_ms=" + std::to_string(Runs.count())}};
+  }
+
+  void send(Request &Each) {
+    Each.m_InFlight = true;
+    ++Each.m_Tries;
+    if (Each.m_SentAt == core::Time())
+      Each.m_SentAt = m_Loop.now();
+    const auto &[Host, Port] =
+        m_Options.m_Servers[m_Random() % m_Options.m_Servers.size()];
+    const core::JobKey &Key = Each.m_Spec.m_Key;
+    HttpCall Call{
+        .m_Method = Each.m_Accepted ? "GET" : "POST",
+        .m_Host = Host,
+        .m_Port = Port,
+        .m_Path = Each.m_Accepted
+                      ? "/v1/jobs/" + core::toString(Key) + "?wait_ms=2000"
+                      : std::string("/v1/jobs"),
+        .m_Body = Each.m_Accepted ? std::string()
+                                  : messages::encodeJobSpec(Each.m_Spec),
+        .m_Timeout = core::Duration(4000)};
+    m_Client.send(Call, [this, &Each](std::optional<HttpAnswer> Answer) {
+      Each.m_InFlight = false;
+      take(Each, Answer);
+    });
+  }
+
+  void take(Request &Each, const std::optional<HttpAnswer> &Answer) {
+    constexpr core::Duration RetryAfter{100};
+    Each.m_NextAt = m_Loop.now() + RetryAfter;
+    if (!Answer)
+      return;
+    Json Body = Json::parse(Answer->m_Body, nullptr, false);
+    if (!Body.is_object())
+      return;
+    bool Good = Answer->m_Status == 200 || Answer->m_Status == 202;
+    if (!Good) {
+      // A refusal that may pass; anything else ends the request.
+      bool Again = Answer->m_Status == 503 || Answer->m_Status == 429;
+      if (!Again)
+        finish(Each, "http " + std::to_string(Answer->m_Status));
+      return;
+    }
+    Each.m_Accepted = true;
+    Each.m_NextAt = m_Loop.now();
+    std::string Outcome = Body.value("outcome", "");
+    if (Outcome == "queued" || Outcome == "running")
+      return;
+    if (Outcome == "answered")
+      Each.m_Wrong = !isWhole(Each, Body);
+    finish(Each, Outcome);
+  }
+
+  static bool isWhole(const Request &Each, const Json &Body) {
+    std::string Expected = "done:" + Each.m_Spec.m_Body;
+    const Json Answers = Body.value("answers", Json::array());
+    return Answers.size() == Each.m_Spec.m_Shape.m_Tasks &&
+           std::all_of(Answers.begin(), Answers.end(),
+                       [&](const Json &One) { return One == Expected; });
+  }
+
+  void finish(Request &Each, std::string Outcome) {
+    Each.m_Done = true;
+    Each.m_Outcome = std::move(Outcome);
+    Each.m_DoneAt = m_Loop.now();
+    ++m_DoneCount;
+  }
+
+  Loop &m_Loop;
+  Options m_Options;
+  HttpClient m_Client;
+  std::minstd_rand m_Random;
+  std::vector<Request> m_Requests;
+  std::size_t m_FirstOpen = 0;
+  std::size_t m_DoneCount = 0;
+};
+
+// Starts that targets saw, by job and task.
+using Starts = std::map<std::string, std::map<std::string, int>>;
+
+} // namespace
+
+static Starts readStarts(const std::string &FileName) {
+  Starts Seen;
+  std::ifstream Stream(FileName);
+  std::string Key;
+  std::string Attempt;
+  std::string Task;
+  while (Stream >> Key >> Attempt >> Task)
+    ++Seen[Key][Task];
+  return Seen;
+}
+
+static int summarise(const Caller &All, const Starts &Seen,
+                     const std::string &Name) {
+  int Accepted = 0;
+  int Answered = 0;
+  int Lost = 0;
+  int Doubled = 0;
+  int FalseNotRun = 0;
+  std::map<std::string, int> Outcomes;
+  std::vector<core::Duration> Times;
+  for (const Request &Each : All.requests()) {
+    std::string Key = core::toString(Each.m_Spec.m_Key);
+    auto Started = Seen.find(Key);
+    bool Once = !Each.m_Spec.m_Idempotent;
+    if (Started != Seen.end() && Once)
+      for (const auto &[Task, Count] : Started->second)
+        Doubled += Count > 1 ? 1 : 0;
+    if (!Each.m_Accepted)
+      continue;
+    ++Accepted;
+    ++Outcomes[Each.m_Done ? Each.m_Outcome : "none"];
+    bool Whole = Each.m_Outcome == "answered" && !Each.m_Wrong;
+    // "unknown" is a truthful answer for work that must run once.
+    bool Truthful = Each.m_Outcome == "unknown" && Once;
+    Answered += Whole || Truthful ? 1 : 0;
+    Lost += Whole || Truthful ? 0 : 1;
+    FalseNotRun += Each.m_Outcome == "not_run" && Started != Seen.end() ? 1 : 0;
+    if (Each.m_Done)
+      Times.push_back(Each.m_DoneAt - Each.m_SentAt);
+  }
+  for (const auto &[Outcome, Count] : Outcomes)
+    std::cout << Name << ": outcome " << Outcome << ": " << Count << "\n";
+  std::sort(Times.begin(), Times.end());
+  if (!Times.empty())
+    std::cout << Name << ": milliseconds to the outcome: median "
+              << Times[Times.size() / 2].count() << ", 99 of 100 within "
+              << Times[Times.size() * 99 / 100].count() << "\n";
+  std::cout << Name << ": " << Accepted << " accepted, " << Answered
+            << " answered, " << Lost << " lost, " << Doubled << " doubled";
+  if (Name == "failover")
+    std::cout << ", " << FalseNotRun << " false not-run";
+  std::cout << std::endl;
+  bool Good = Accepted == static_cast<int>(All.requests().size()) &&
+              Lost == 0 && Doubled == 0 && FalseNotRun == 0;
+  return Good ? 0 : 1;
+}
+
+int main(int Count, char **Words) {
+  Options Values;
+  char *Servers = nullptr;
+  char *Starts = nullptr;
+  char *Name = nullptr;
+  int Seed = 1;
+  const poptOption Table[] = {
+      {"servers", 0, POPT_ARG_STRING, &Servers, 0, "host:port,...", nullptr},
+      {"jobs", 0, POPT_ARG_INT, &Values.m_Jobs, 0, "Jobs", nullptr},
+      {"open", 0, POPT_ARG_INT, &Values.m_Open, 0, "Open at once", nullptr},
+      {"seed", 0, POPT_ARG_INT, &Seed, 0, "Seed", nullptr},
+      {"gangs", 0, POPT_ARG_INT, &Values.m_GangPercent, 0, "Percent", nullptr},
+      {"once", 0, POPT_ARG_INT, &Values.m_OncePercent, 0, "Percent", nullptr},
+      {"run-ms", 0, POPT_ARG_INT, &Values.m_RunMs, 0, "Longest run", nullptr},
+      {"starts", 0, POPT_ARG_STRING, &Starts, 0, "File of starts", nullptr},
+      {"name", 0, POPT_ARG_STRING, &Name, 0, "Name of the run", nullptr},
+      {"timeout", 0, POPT_ARG_INT, &Values.m_TimeoutSeconds, 0, "Seconds",
+       nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext Context = poptGetContext(
+      "standin_caller", Count, const_cast<const char **>(Words), Table, 0);
+  if (poptGetNextOpt(Context) < -1 || !Servers || !Starts || !Name)
+    return 2;
+  Values.m_Seed = static_cast<unsigned>(Seed);
+  Values.m_Label = Name;
+  std::istringstream Stream{std::string(Servers)};
+  std::string Part;
+  while (std::getline(Stream, Part, ',')) {
+    auto Colon = Part.find(':');
+    Values.m_Servers.emplace_back(
+        Part.substr(0, Colon),
+        static_cast<std::uint16_t>(std::atoi(Part.c_str() + Colon + 1)));
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  Loop On;
+  Caller All(On, Values);
+  core::Time End = On.now() + std::chrono::seconds(Values.m_TimeoutSeconds);
+  On.run(core::Duration(10), [&] {
+    All.turn();
+    if (All.isDone() || On.now() >= End)
+      On.stop();
+  });
+  return summarise(All, readStarts(Starts), Name);
+}
