--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -158,8 +158,14 @@
       Status.m_ConfigurationVersion = Into.m_ConfigurationVersion;
       Status.m_Role = "leader";
     } else if (const replica::Member *Member = Members.find(Vm)) {
-      Status.m_Role = Member->m_Voter ? "voter" : "learner";
       auto Progress = Self.m_Progress.find(Vm);
+      bool Answers = Progress != Self.m_Progress.end() &&
+                     Progress->second.m_Answered &&
+                     Now - Progress->second.m_AnsweredSentAt <
+                         m_Detection.m_SuspectAfter;
+      Status.m_Role = Member->m_Voter ? "voter" : "learner";
+      if (!Answers)
+        Status.m_Role += "-silent";
       if (Progress != Self.m_Progress.end())
         Status.m_EntriesBehind =
             Self.m_Commit - std::min(Self.m_Commit, Progress->second.m_Match);
