--- a/packages/control/replay.cpp
+++ b/packages/control/replay.cpp
@@ -244,9 +244,10 @@
       continue;
     std::int64_t Here = std::max<std::int64_t>(Slot.free().m_Accelerators, 0);
     Free += Here;
+    core::Capacity Room = Slot.free();
     bool Usable = std::any_of(
         Needs.begin(), Needs.end(),
-        [&](const core::Capacity &Each) { return Slot.free().covers(Each); });
+        [&](const core::Capacity &Each) { return Room.covers(Each); });
     if (!Usable)
       Stranded += Here;
   }
--- a/packages/control/schedule.cpp
+++ b/packages/control/schedule.cpp
@@ -32,8 +32,7 @@
   for (const core::JobKey &Key : Current.m_Indexes.m_Queued)
     Queued.push_back(findJob(Current, Key));
 
-  placement::PassResult Result =
-      placement::runPass(View, std::move(Queued), Options, Now);
+  placement::PassResult Result = placement::runPass(View, Queued, Options, Now);
   Scheduled Out{.m_Decisions = std::move(Result.m_Decisions)};
   for (const placement::Decision &Said : Out.m_Decisions)
     for (Command &Each : commandsFor(Said))
--- a/packages/control/state.cpp
+++ b/packages/control/state.cpp
@@ -116,7 +116,21 @@
   return changeJob(W, Key, Value);
 }
 
+static void noteTargetChange(Work &W, const target::Target &After) {
+  auto Known = W.tables().m_Targets.find(After.id());
+  if (Known == W.tables().m_Targets.end())
+    return;
+  const target::TargetFields &Old = Known->second.fields();
+  bool Quarantined = After.fields().m_QuarantinedUntil > Old.m_QuarantinedUntil;
+  if (Old.m_Presence != After.presence() || Quarantined)
+    W.m_Out.m_TargetChanges.push_back({.m_Target = After.id(),
+                                       .m_From = Old.m_Presence,
+                                       .m_To = After.presence(),
+                                       .m_Quarantined = Quarantined});
+}
+
 static void replaceTarget(Work &W, target::Target After) {
+  noteTargetChange(W, After);
   W.indexes().m_Fleet = std::move(W.indexes().m_Fleet).withTarget(After);
   W.tables().m_Targets.insert_or_assign(After.id(), std::move(After));
   W.m_Out.m_FleetChanged = true;
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -67,11 +67,22 @@
   friend bool operator==(const Change &, const Change &) = default;
 };
 
+// A target whose presence changed or that was just quarantined.
+struct TargetChange {
+  core::TargetId m_Target;
+  target::Presence m_From = target::Presence::Active;
+  target::Presence m_To = target::Presence::Active;
+  bool m_Quarantined = false;
+
+  friend bool operator==(const TargetChange &, const TargetChange &) = default;
+};
+
 struct Applied {
   State m_State;
   // Each command's result: code None where it took effect or had done so.
   std::vector<core::Reason> m_Results;
   std::vector<Change> m_Changes;
+  std::vector<TargetChange> m_TargetChanges;
   // True when targets or the configuration changed, so that witnesses must be
   // found again.
   bool m_FleetChanged = false;
--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -155,10 +155,10 @@
     if (ReloadSignals > 0) {
       ReloadSignals = 0;
       auto Reloaded = Tokens::read(Files);
-      if (Reloaded)
-        Interface.setTokens(*std::move(Reloaded));
       logEvent(Event::TokensReloaded,
                {{"reason", core::toString(Reloaded.reason())}});
+      if (Reloaded)
+        Interface.setTokens(*std::move(Reloaded));
     }
   });
   logEvent(Event::Stopped, {{"vm", Values.m_Self.m_Id.text()}});
--- a/packages/job/job.h
+++ b/packages/job/job.h
@@ -17,7 +17,7 @@
 namespace fireflydrift::job {
 
 // Largest request body and largest answer of one task, in bytes.
-inline constexpr std::size_t MaxBodyBytes = 256 * 1024;
+inline constexpr std::size_t MaxBodyBytes = 262144;
 // Different targets on which an idempotent job has failed, after which it
 // counts as at fault itself.
 inline constexpr std::size_t MaxFailedTargets = 3;
--- a/packages/messages/codec.h
+++ b/packages/messages/codec.h
@@ -15,7 +15,7 @@
 namespace fireflydrift::messages {
 
 // Largest encoded value, in bytes.
-inline constexpr std::size_t MaxEncodedBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t MaxEncodedBytes = std::size_t{64} << 20U;
 
 // ---- Between VMs -----------------------------------------------------------
 
--- a/packages/placement/pass.cpp
+++ b/packages/placement/pass.cpp
@@ -75,7 +75,7 @@
     Working.m_Holds.push_back(*std::move(Kept));
 }
 
-PassResult runPass(const View &All, std::vector<const job::Job *> Queued,
+PassResult runPass(const View &All, const std::vector<const job::Job *> &Queued,
                    const PassOptions &Options, core::Time Now) {
   PassResult Result;
   if (Queued.empty())
--- a/packages/placement/pass.h
+++ b/packages/placement/pass.h
@@ -30,7 +30,7 @@
 // Decides about the queued jobs at Now. The view's fleet is not changed; later
 // jobs of the pass see the room that earlier ones took.
 [[nodiscard]] PassResult runPass(const View &All,
-                                 std::vector<const job::Job *> Queued,
+                                 const std::vector<const job::Job *> &Queued,
                                  const PassOptions &Options, core::Time Now);
 
 } // namespace fireflydrift::placement
--- a/packages/runtime/counters.cpp
+++ b/packages/runtime/counters.cpp
@@ -42,16 +42,20 @@
 std::string Counters::text() const {
   std::string Out;
   for (const auto &[Name, Help] : allMetrics()) {
-    Out += "# HELP " + Name + " " + Help + "\n# TYPE " + Name +
-           (Name.ends_with("_total") ? " counter\n" : " gauge\n");
+    Out.append("# HELP ").append(Name).append(" ").append(Help);
+    Out.append("\n# TYPE ").append(Name);
+    Out.append(Name.ends_with("_total") ? " counter\n" : " gauge\n");
     auto Found = m_Values.find(Name);
     if (Found == m_Values.end()) {
-      Out += Name + " 0\n";
+      Out.append(Name).append(" 0\n");
       continue;
     }
-    for (const auto &[Label, Value] : Found->second)
-      Out += Name + (Label.empty() ? "" : "{" + Label + "}") + " " +
-             std::to_string(Value) + "\n";
+    for (const auto &[Label, Value] : Found->second) {
+      Out.append(Name);
+      if (!Label.empty())
+        Out.append("{").append(Label).append("}");
+      Out.append(" ").append(std::to_string(Value)).append("\n");
+    }
   }
   return Out;
 }
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -1,5 +1,7 @@
 #include "runtime/entry.h"
 
+#include "runtime/events.h"
+
 namespace fireflydrift::runtime {
 
 Entry::Entry(EntryOptions Options, Counters &Counts, Send Sender)
@@ -57,17 +59,31 @@
       routing::bounced(std::move(m_Forwarding), Id, m_Options.m_Retry, Now);
 }
 
+static const char *kindOf(const control::Operation &Value) {
+  static constexpr const char *Names[] = {
+      "submit", "fetch",  "cancel",   "explain", "configure",
+      "read",   "status", "announce", "report",  "leave"};
+  static_assert(std::size(Names) == std::variant_size_v<control::Operation>);
+  return Names[Value.index()];
+}
+
 void Entry::forward(const core::VmId &Leader, core::Time Now) {
   routing::ForwardingStep Next =
       routing::due(std::move(m_Forwarding), Leader, m_Options.m_Retry, Now);
   m_Forwarding = std::move(Next.m_Forwarding);
   for (std::uint64_t Id : Next.m_Send) {
-    if (m_Forwarding.m_Pending.at(Id).m_Tries > 1)
+    std::uint32_t Tries = m_Forwarding.m_Pending.at(Id).m_Tries;
+    if (Tries > 1)
       m_Counters.add("fireflydrift_retries_total");
     auto Found = m_Held.find(Id);
-    if (Found != m_Held.end())
-      m_Send(Leader, messages::ForwardOperation{
-                         .m_Id = Id, .m_Operation = Found->second.m_Operation});
+    if (Found == m_Held.end())
+      continue;
+    logEvent(Event::RequestRouted, {{"operation", std::to_string(Id)},
+                                    {"kind", kindOf(Found->second.m_Operation)},
+                                    {"leader", Leader.text()},
+                                    {"try", std::to_string(Tries)}});
+    m_Send(Leader, messages::ForwardOperation{
+                       .m_Id = Id, .m_Operation = Found->second.m_Operation});
   }
   for (std::uint64_t Id : Next.m_Expired)
     complete(Id, control::Failure{
--- a/packages/runtime/events.cpp
+++ b/packages/runtime/events.cpp
@@ -21,7 +21,7 @@
 const std::vector<EventInfo> &allEvents() {
   static const std::vector<EventInfo> Events{
       {Event::Started, Severity::Info, "started"},
-      {Event::SettingsRefused, Severity::Error, "settings_refused"},
+
       {Event::Stopping, Severity::Info, "stopping"},
       {Event::Stopped, Severity::Info, "stopped"},
       {Event::ListenFailed, Severity::Error, "listen_failed"},
--- a/packages/runtime/events.h
+++ b/packages/runtime/events.h
@@ -14,7 +14,7 @@
 // The numbers are part of the interface: they never change their meaning.
 enum class Event : std::uint16_t {
   Started = 1001,
-  SettingsRefused = 1002,
+
   Stopping = 1003,
   Stopped = 1004,
   ListenFailed = 1005,
--- a/packages/runtime/http_client.cpp
+++ b/packages/runtime/http_client.cpp
@@ -10,7 +10,7 @@
 // Longest silence on a connection before h2o itself gives it up.
 static constexpr std::uint64_t IoTimeoutMs = 60000;
 // Largest answer of a target that is read.
-static constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
+static constexpr std::size_t MaxAnswerBytes = std::size_t{4} << 20U;
 
 namespace {
 
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -147,11 +147,12 @@
   void *Memory = h2o_mem_alloc_shared(
       &Request->pool, sizeof(std::shared_ptr<Exchange>), forgetExchange);
   new (Memory) std::shared_ptr<Exchange>(Open);
-  Self->m_Handler(readRequest(Request), [Self, Open](HttpResponse Value) {
-    h2o_req_t *Pending = std::exchange(Open->m_Request, nullptr);
-    if (Pending)
-      sendResponse(Pending, Value, Self->m_Draining);
-  });
+  Self->m_Handler(
+      readRequest(Request), [Self, Open](const HttpResponse &Value) {
+        h2o_req_t *Pending = std::exchange(Open->m_Request, nullptr);
+        if (Pending)
+          sendResponse(Pending, Value, Self->m_Draining);
+      });
   return 0;
 }
 
--- a/packages/runtime/leader_host.cpp
+++ b/packages/runtime/leader_host.cpp
@@ -109,12 +109,27 @@
     m_PassIndex = Index;
 }
 
+static void logTargetChanges(const control::Applied &Result) {
+  for (const control::TargetChange &Each : Result.m_TargetChanges) {
+    Fields Details{{"target", Each.m_Target.text()}};
+    if (Each.m_Quarantined)
+      logEvent(Event::TargetQuarantined, Details);
+    if (Each.m_From == Each.m_To)
+      continue;
+    if (Each.m_To == target::Presence::Lost)
+      logEvent(Event::TargetLost, Details);
+    else if (Each.m_To == target::Presence::Leaving)
+      logEvent(Event::TargetLeaving, Details);
+  }
+}
+
 void LeaderHost::onApplied(std::uint64_t Index, const control::Applied &Result,
                            const control::State &State, core::Time Now) {
   m_AppliedIndex = Index;
   if (!m_Leader)
     return;
   logChanges(Result, State);
+  logTargetChanges(Result);
   m_Leader = control::afterApplied(*std::move(m_Leader), State, Result, Now);
   answerFetches(Result, State);
   auto Found = m_AwaitApplied.find(Index);
--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -1,6 +1,7 @@
 #include "runtime/links.h"
 
 #include "runtime/address.h"
+#include "runtime/events.h"
 #include "runtime/h2o_api.h"
 
 #include <array>
@@ -186,8 +187,11 @@
       return true;
     auto Decoded = messages::decodeEnvelope(
         std::string_view(Socket->input->bytes + FrameHeader, Length));
-    if (!Decoded)
+    if (!Decoded) {
+      logEvent(Event::MessageRefused,
+               {{"reason", core::toString(Decoded.reason())}});
       return false;
+    }
     auto Peer = From.m_Peers->find(Decoded->m_From);
     if (Peer == From.m_Peers->end())
       return false;
--- a/packages/runtime/links.h
+++ b/packages/runtime/links.h
@@ -16,7 +16,7 @@
   core::Duration m_ReconnectAfter{200};
   // Bytes that may wait for one VM; what comes on top is dropped, because
   // every message is sent again by whoever needs it.
-  std::size_t m_MaxQueuedBytes = 64 * 1024 * 1024;
+  std::size_t m_MaxQueuedBytes = std::size_t{64} << 20U;
 
   friend bool operator==(const LinkOptions &, const LinkOptions &) = default;
 };
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -325,6 +325,18 @@
   m_Replica->flush(Now);
 }
 
+void Node::logLiveness(core::Time Now) {
+  for (const auto &[Vm, Known] : m_Membership.contacts()) {
+    membership::Liveness Next = m_Membership.liveness(Vm, Now, m_Detection);
+    membership::Liveness &Last = m_LastLiveness[Vm];
+    if (Next == Last)
+      continue;
+    Last = Next;
+    logEvent(Event::VmLiveness,
+             {{"vm", Vm.text()}, {"liveness", membership::toString(Next)}});
+  }
+}
+
 void Node::turnBeats(core::Time Now) {
   bool Leads = leads(Now);
   if (Leads)
@@ -332,6 +344,7 @@
   if (Now - m_BeatAt < m_Settings.m_BeatEvery)
     return;
   m_BeatAt = Now;
+  logLiveness(Now);
   membership::Beat Value{
       .m_From = m_Settings.m_Self.m_Id,
       .m_ConfigurationVersion = configurationVersion(),
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -59,6 +59,7 @@
   void turnReplica(core::Time Now);
   void turnBeats(core::Time Now);
   void refreshConfiguration(core::Time Now);
+  void logLiveness(core::Time Now);
 
   Loop &m_Loop;
   Settings m_Settings;
@@ -78,6 +79,7 @@
   bool m_ReadingConfiguration = false;
   replica::Role m_LastRole = replica::Role::Blank;
   core::VmId m_LastLeader;
+  std::map<core::VmId, membership::Liveness> m_LastLiveness;
   core::Time m_TickAt;
   core::Time m_BeatAt;
   core::Time m_DrainingSince;
--- a/tests/control/faults_test.cpp
+++ b/tests/control/faults_test.cpp
@@ -155,7 +155,9 @@
     core::JobKey Key{core::WorkspaceId(m_Random() % 2 == 0 ? "w" : "v"),
                      core::RequestId(std::to_string(++m_Submitted))};
     job::JobSpec Spec{.m_Key = Key,
-                      .m_Shape = {.m_Tasks = Gang ? 2 + m_Random() % 3U : 1,
+                      .m_Shape = {.m_Tasks = Gang ? static_cast<std::uint32_t>(
+                                                        2 + m_Random() % 3)
+                                                  : 1U,
                                   .m_PerTask = {2, 0, 0}},
                       .m_Idempotent = m_Random() % 2 == 0};
     Handling Next = handle(m_State, Submit{Spec}, m_Leader.m_Witnesses, m_Now);
--- a/tests/control/replay_test.cpp
+++ b/tests/control/replay_test.cpp
@@ -1,6 +1,5 @@
 // Every recorded trace must meet its stated outcomes.
 #include "control/replay.h"
-
 #include "messages/trace.h"
 
 #include <filesystem>
--- /dev/null
+++ b/tests/membership/membership_test.cpp
@@ -0,0 +1,58 @@
+#include "membership/membership.h"
+
+#include <gtest/gtest.h>
+
+using namespace fireflydrift;
+using namespace fireflydrift::membership;
+
+static const core::VmId A("a");
+static const core::VmId B("b");
+static core::Time at(core::Duration::rep Ms) { return core::timeFromMs(Ms); }
+
+static Membership two() { return {A, {{.m_Id = A}, {.m_Id = B}}}; }
+
+TEST(Membership, GoesFromUnheardToGone) {
+  DetectionOptions Options;
+  Membership Value = two();
+  EXPECT_EQ(Value.liveness(B, at(0), Options), Liveness::Unheard);
+  Value = Value.heardDatagram({.m_From = B}, at(1000));
+  EXPECT_EQ(Value.liveness(B, at(1100), Options), Liveness::Alive);
+  EXPECT_EQ(Value.liveness(B, at(1000) + Options.m_SuspectAfter, Options),
+            Liveness::Suspect);
+  EXPECT_EQ(Value.liveness(B, at(1000) + Options.m_GoneAfter, Options),
+            Liveness::Gone);
+}
+
+TEST(Membership, TellsASilentConnectionFromASilentVm) {
+  DetectionOptions Options;
+  Membership Value = two().heardFrame(B, at(0));
+  Value = Value.heardDatagram({.m_From = B}, at(10000));
+  EXPECT_TRUE(Value.connectionIsSilent(B, at(10100), Options));
+  Value = Value.heardFrame(B, at(10100));
+  EXPECT_FALSE(Value.connectionIsSilent(B, at(10200), Options));
+  // Nothing arrives at all: that is a fact about the VM.
+  EXPECT_FALSE(Value.connectionIsSilent(B, at(90000), Options));
+}
+
+TEST(Membership, AVersionNeverGoesBack) {
+  Membership Value =
+      two().heardDatagram({.m_From = B, .m_ConfigurationVersion = 7}, at(2));
+  Value =
+      Value.heardDatagram({.m_From = B, .m_ConfigurationVersion = 5}, at(1));
+  EXPECT_EQ(Value.find(B)->m_ConfigurationVersion, 7U);
+  EXPECT_EQ(Value.find(B)->m_LastDatagram, at(2));
+}
+
+TEST(Membership, FollowsTheLeaderOfTheHighestTerm) {
+  core::VmId C("c");
+  Membership Value(A, {{.m_Id = A}, {.m_Id = B}, {.m_Id = C}});
+  Value = Value.heardDatagram({.m_From = B, .m_Leader = B, .m_Term = 4}, at(0));
+  Value = Value.heardDatagram({.m_From = C, .m_Leader = C, .m_Term = 5}, at(0));
+  EXPECT_EQ(Value.leader(at(10), {}), C);
+  EXPECT_EQ(Value.leader(at(60000), {}), core::VmId());
+}
+
+TEST(Membership, IgnoresStrangers) {
+  Membership Value = two();
+  EXPECT_EQ(Value.heardDatagram({.m_From = core::VmId("x")}, at(1)), Value);
+}
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -239,6 +239,42 @@
   EXPECT_EQ(Synced.m_Effects.m_Committed.size(), 1U);
 }
 
+// B leads term 2 and holds an entry of term 1 that is not committed.
+static Replica leaderOfTermTwo() {
+  Step Asked = step(follower(), Campaign{}, Late);
+  Step Won = step(Asked.m_Replica,
+                  Received{.m_From = A,
+                           .m_Message = VoteReply{.m_Term = 2,
+                                                  .m_Granted = true,
+                                                  .m_Incarnation = 1}},
+                  Late);
+  EXPECT_EQ(Won.m_Replica.m_Role, Role::Leader);
+  return step(Won.m_Replica, Synced{.m_Index = 2}, Late).m_Replica;
+}
+
+static Step acknowledge(const Replica &Leader, std::uint64_t Match,
+                        std::uint64_t Incarnation) {
+  return step(Leader,
+              Received{.m_From = A,
+                       .m_Message = AppendReply{.m_Term = 2,
+                                                .m_Accepted = true,
+                                                .m_Match = Match,
+                                                .m_Incarnation = Incarnation,
+                                                .m_SentAt = Late}},
+              Late);
+}
+
+TEST(Replica, CommitsEarlierTermsOnlyWithAnEntryOfItsOwn) {
+  Replica Leader = leaderOfTermTwo();
+  EXPECT_TRUE(acknowledge(Leader, 1, 1).m_Effects.m_Committed.empty());
+  EXPECT_EQ(acknowledge(Leader, 2, 1).m_Effects.m_Committed.size(), 2U);
+}
+
+TEST(Replica, CountsNoAnswerOfAnotherDataFolder) {
+  EXPECT_TRUE(
+      acknowledge(leaderOfTermTwo(), 2, 77).m_Effects.m_Committed.empty());
+}
+
 TEST(Replica, CommitsNothingThroughAnEmptyDisk) {
   Cluster All({});
   All.run(Settle);
--- /dev/null
+++ b/tests/routing/routing_test.cpp
@@ -0,0 +1,151 @@
+#include "routing/admission.h"
+#include "routing/forwarding.h"
+#include "routing/retry.h"
+#include "routing/signs.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+using namespace fireflydrift;
+using namespace fireflydrift::routing;
+
+static const core::VmId A("a");
+static const core::VmId B("b");
+static core::Time at(core::Duration::rep Ms) { return core::timeFromMs(Ms); }
+
+TEST(Admission, ShedsWhatItCannotHold) {
+  AdmissionOptions Options{.m_MaxHeld = 4, .m_WorkspacePercent = 50};
+  Admission Value{.m_LeaderHeardAt = at(1000)};
+  core::WorkspaceId W("w");
+  core::WorkspaceId V("v");
+  Value = taken(taken(std::move(Value), W), W);
+  EXPECT_EQ(check(Value, Options, W, at(1001)).m_Code,
+            core::ReasonCode::Overloaded);
+  EXPECT_EQ(check(Value, Options, V, at(1001)).m_Code, core::ReasonCode::None);
+  Value = finished(std::move(Value), W);
+  EXPECT_EQ(check(Value, Options, W, at(1001)).m_Code, core::ReasonCode::None);
+}
+
+TEST(Admission, TakesNothingWithoutALeaderOrWhileDraining) {
+  Admission Value{.m_LeaderHeardAt = at(1000)};
+  AdmissionOptions Options;
+  core::WorkspaceId W("w");
+  EXPECT_EQ(check(Value, Options, W, at(1000) + Options.m_LeaderWithin).m_Code,
+            core::ReasonCode::None);
+  EXPECT_EQ(check(Value, Options, W, at(1001) + Options.m_LeaderWithin).m_Code,
+            core::ReasonCode::Unavailable);
+  Value.m_Draining = true;
+  EXPECT_EQ(check(Value, Options, W, at(1000)).m_Code,
+            core::ReasonCode::Unavailable);
+}
+
+TEST(RetryBudget, AllowsAFifthOnTop) {
+  RetryOptions Options{.m_Reserve = 0};
+  RetryBudget Budget{};
+  int Retries = 0;
+  Options.m_Reserve = 10;
+  for (int I = 0; I < 1000; ++I) {
+    Budget = afterFirstTry(Budget, Options);
+    if (auto Left = afterRetry(Budget)) {
+      Budget = *Left;
+      ++Retries;
+    }
+  }
+  EXPECT_EQ(Retries, 200);
+}
+
+TEST(BackOff, GrowsAndIsTheSameEachTime) {
+  RetryOptions Options;
+  EXPECT_EQ(backOff(Options, 7, 2), backOff(Options, 7, 2));
+  for (std::uint32_t Tries = 1; Tries < 10; ++Tries) {
+    EXPECT_GE(backOff(Options, 7, Tries), Options.m_FirstDelay / 2);
+    EXPECT_LE(backOff(Options, 7, Tries), Options.m_LongestDelay);
+  }
+}
+
+TEST(Forwarding, WaitsForALeaderAndFollowsItsChange) {
+  RetryOptions Options;
+  Forwarding Value =
+      added({.m_Budget = fullBudget(Options)}, 1, at(9000), at(0));
+  ForwardingStep Next = due(std::move(Value), {}, Options, at(1));
+  EXPECT_TRUE(Next.m_Send.empty());
+  Next = due(std::move(Next.m_Forwarding), A, Options, at(2));
+  EXPECT_EQ(Next.m_Send.size(), 1U);
+  Next = due(std::move(Next.m_Forwarding), A, Options, at(3));
+  EXPECT_TRUE(Next.m_Send.empty());
+  Next = due(std::move(Next.m_Forwarding), B, Options, at(4));
+  EXPECT_EQ(Next.m_Send.size(), 1U);
+  Next = due(std::move(Next.m_Forwarding), B, Options, at(9000));
+  EXPECT_EQ(Next.m_Expired.size(), 1U);
+  EXPECT_TRUE(Next.m_Forwarding.m_Pending.empty());
+}
+
+// Half of all tries are lost; what is sent stays within 1.2 of the requests.
+TEST(Forwarding, KeepsAmplificationWithinItsBudget) {
+  RetryOptions Options{.m_Reserve = 32};
+  Forwarding Value{.m_Budget = fullBudget(Options)};
+  std::uint64_t Sent = 0;
+  std::minstd_rand Random(3);
+  constexpr std::uint64_t Requests = 5000;
+  core::Time Now = at(0);
+  for (std::uint64_t Id = 1; Id <= Requests; ++Id) {
+    Now += core::Duration(10);
+    Value = added(std::move(Value), Id, Now + core::Duration(10000), Now);
+    ForwardingStep Next = due(std::move(Value), A, Options, Now);
+    Value = std::move(Next.m_Forwarding);
+    for (std::uint64_t Each : Next.m_Send) {
+      ++Sent;
+      if (Random() % 2 == 0)
+        Value = removed(std::move(Value), Each);
+    }
+  }
+  EXPECT_LE(Sent * 100, Requests * 120 + 3200);
+  EXPECT_GT(Sent, Requests);
+}
+
+TEST(Signs, TellOnlyChanges) {
+  SignsOptions Options;
+  core::TargetId T("t");
+  EntrySigns Entry = heard({}, T, at(1000));
+  Summarised First = summarise(std::move(Entry), Options, true, at(1000));
+  EXPECT_EQ(First.m_Summary.m_Appeared.size(), 1U);
+  Entry = heard(std::move(First.m_Signs), T, at(1500));
+  Summarised Second = summarise(std::move(Entry), Options, false, at(1500));
+  EXPECT_TRUE(Second.m_Summary.m_Appeared.empty());
+  Summarised Third = summarise(std::move(Second.m_Signs), Options, false,
+                               at(1500) + Options.m_GoneAfter);
+  EXPECT_EQ(Third.m_Summary.m_Vanished.size(), 1U);
+}
+
+TEST(Signs, AGapAsksForEverything) {
+  SignsOptions Options;
+  Told First = told({}, A, {.m_Sequence = 1, .m_Full = true}, Options, at(0));
+  EXPECT_FALSE(First.m_NeedsFull);
+  Told Gap = told(First.m_Signs, A, {.m_Sequence = 3}, Options, at(1));
+  EXPECT_TRUE(Gap.m_NeedsFull);
+}
+
+// From the target's last sign to the leader's last placement on it.
+TEST(Signs, ASilentTargetGetsNoWorkAfterThreeSeconds) {
+  SignsOptions Options;
+  core::TargetId T("t");
+  EntrySigns Entry;
+  LeaderSigns Leader{.m_Since = at(0)};
+  core::Time Last = at(5000);
+  core::Time SilentAt;
+  for (core::Time Now = at(0); Now < at(20000); Now += core::Duration(100)) {
+    if (Now <= Last)
+      Entry = heard(std::move(Entry), T, Now);
+    if (summaryIsDue(Entry, Options, Now)) {
+      Summarised Next = summarise(std::move(Entry), Options, Now == at(0), Now);
+      Entry = std::move(Next.m_Signs);
+      Leader = told(std::move(Leader), A, Next.m_Summary, Options, Now).m_Signs;
+    }
+    bool Silent = Now - lastSign(Leader, T) >= Options.m_SilentAfter;
+    EXPECT_FALSE(Silent && Now <= Last);
+    if (Silent && SilentAt == core::Time())
+      SilentAt = Now;
+  }
+  ASSERT_NE(SilentAt, core::Time());
+  EXPECT_LE(SilentAt - Last, core::Duration(3000));
+}
--- /dev/null
+++ b/tests/runtime/journal_test.cpp
@@ -0,0 +1,171 @@
+#include "runtime/journal.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+
+using namespace fireflydrift;
+using namespace fireflydrift::runtime;
+namespace fs = std::filesystem;
+
+namespace {
+
+class JournalFiles : public testing::Test {
+protected:
+  void SetUp() override {
+    m_Folder = fs::temp_directory_path() /
+               ("fd-journal-" + std::to_string(getpid()) + "-" +
+                testing::UnitTest::GetInstance()->current_test_info()->name());
+    fs::remove_all(m_Folder);
+  }
+  void TearDown() override { fs::remove_all(m_Folder); }
+
+  std::pair<Journal, Found> open() {
+    auto Opened = Journal::open(m_Folder.string());
+    EXPECT_TRUE(Opened) << core::toString(Opened.reason());
+    return *std::move(Opened);
+  }
+  static void appendEntries(Journal &To, std::uint64_t First,
+                            std::uint64_t Last) {
+    for (std::uint64_t I = First; I <= Last; ++I)
+      EXPECT_TRUE(To.append(
+          {.m_Value = replica::Entry{
+               .m_Index = I, .m_Term = 1, .m_Commands = std::to_string(I)}}));
+    EXPECT_TRUE(To.sync());
+  }
+  fs::path newestSegment() {
+    fs::path Newest;
+    for (const auto &Each : fs::directory_iterator(m_Folder))
+      if (Each.path().filename().string().starts_with("journal-") &&
+          Each.path() > Newest)
+        Newest = Each.path();
+    return Newest;
+  }
+
+  fs::path m_Folder;
+};
+
+} // namespace
+
+TEST_F(JournalFiles, KeepWhatWasSynced) {
+  {
+    auto [Files, Content] = open();
+    EXPECT_EQ(Content.m_Records, 0U);
+    appendEntries(Files, 1, 10);
+    EXPECT_TRUE(Files.append({.m_Value = replica::HardState{.m_Term = 4}}));
+    EXPECT_TRUE(Files.append({.m_Value = messages::TruncateFrom{9}}));
+    EXPECT_TRUE(Files.sync());
+  }
+  auto [Files, Content] = open();
+  EXPECT_EQ(Content.m_Recovered.m_Entries.size(), 8U);
+  EXPECT_EQ(Content.m_Recovered.m_Hard.m_Term, 4U);
+}
+
+TEST_F(JournalFiles, CutOffATornTailAtEveryByte) {
+  {
+    auto [Files, Content] = open();
+    appendEntries(Files, 1, 3);
+  }
+  std::string Whole;
+  {
+    std::ifstream Stream(newestSegment(), std::ios::binary);
+    std::ostringstream Bytes;
+    Bytes << Stream.rdbuf();
+    Whole = Bytes.str();
+  }
+  fs::path Segment = newestSegment();
+  for (std::size_t Length = 0; Length < Whole.size(); ++Length) {
+    std::ofstream(Segment, std::ios::binary | std::ios::trunc)
+        << Whole.substr(0, Length);
+    auto [Files, Content] = open();
+    EXPECT_LE(Content.m_Recovered.m_Entries.size(), 2U);
+    // What was cut off does not come back after further writes.
+    appendEntries(Files, Content.m_Recovered.m_Entries.size() + 1, 4);
+    auto [Again, After] = open();
+    EXPECT_EQ(After.m_Recovered.m_Entries.size(), 4U);
+  }
+}
+
+TEST_F(JournalFiles, RefuseADamagedMiddle) {
+  {
+    auto [Files, Content] = open();
+    appendEntries(Files, 1, 20);
+  }
+  fs::path Segment = newestSegment();
+  std::fstream Stream(Segment, std::ios::binary | std::ios::in | std::ios::out);
+  Stream.seekp(static_cast<std::streamoff>(fs::file_size(Segment) / 2));
+  Stream.put('\x7f');
+  Stream.put('\x7f');
+  Stream.close();
+  auto Opened = Journal::open(m_Folder.string());
+  ASSERT_FALSE(Opened);
+  EXPECT_EQ(Opened.reason().m_Code, core::ReasonCode::Corrupt);
+  EXPECT_NE(Opened.reason().m_Rule.find("damaged record"), std::string::npos);
+}
+
+TEST_F(JournalFiles, RefuseADamagedLengthInTheMiddle) {
+  {
+    auto [Files, Content] = open();
+    appendEntries(Files, 1, 20);
+  }
+  std::fstream Stream(newestSegment(),
+                      std::ios::binary | std::ios::in | std::ios::out);
+  // The first record's length now reaches past the end of the file.
+  Stream.seekp(2);
+  Stream.put('\x01');
+  Stream.close();
+  EXPECT_FALSE(Journal::open(m_Folder.string()));
+}
+
+TEST_F(JournalFiles, SnapshotsReplaceOldSegments) {
+  {
+    auto [Files, Content] = open();
+    appendEntries(Files, 1, 10);
+    EXPECT_TRUE(Files.writeSnapshot(
+        {.m_Point = {.m_Index = 8, .m_Term = 1}, .m_State = "tables"},
+        {.m_Term = 2, .m_Incarnation = 5},
+        {{.m_Index = 9, .m_Term = 1}, {.m_Index = 10, .m_Term = 1}}));
+    appendEntries(Files, 11, 12);
+  }
+  auto [Files, Content] = open();
+  EXPECT_EQ(Content.m_SnapshotState, "tables");
+  EXPECT_EQ(Content.m_Recovered.m_Snapshot.m_Index, 8U);
+  EXPECT_EQ(Content.m_Recovered.m_Entries.size(), 4U);
+  EXPECT_EQ(Content.m_Recovered.m_Hard.m_Incarnation, 5U);
+  int Files2 = 0;
+  for ([[maybe_unused]] const auto &Each : fs::directory_iterator(m_Folder))
+    ++Files2;
+  EXPECT_EQ(Files2, 2);
+}
+
+TEST_F(JournalFiles, RefuseADamagedSnapshot) {
+  {
+    auto [Files, Content] = open();
+    EXPECT_TRUE(Files.writeSnapshot({.m_Point = {.m_Index = 1}}, {}, {}));
+  }
+  for (const auto &Each : fs::directory_iterator(m_Folder))
+    if (Each.path().filename().string().starts_with("snapshot-"))
+      fs::resize_file(Each.path(), fs::file_size(Each.path()) - 1);
+  auto Opened = Journal::open(m_Folder.string());
+  ASSERT_FALSE(Opened);
+  EXPECT_EQ(Opened.reason().m_Code, core::ReasonCode::Corrupt);
+}
+
+TEST_F(JournalFiles, AFullDiskIsAnOutcomeAndStaysOne) {
+  auto [Files, Content] = open();
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit Before{};
+  getrlimit(RLIMIT_FSIZE, &Before);
+  rlimit Small{.rlim_cur = 200, .rlim_max = Before.rlim_max};
+  setrlimit(RLIMIT_FSIZE, &Small);
+  bool Refused = false;
+  for (std::uint64_t I = 1; I < 100 && !Refused; ++I)
+    Refused = !Files.append({.m_Value = replica::Entry{.m_Index = I}});
+  setrlimit(RLIMIT_FSIZE, &Before);
+  EXPECT_TRUE(Refused);
+  // Space has come back, but what was promised is not known any more.
+  EXPECT_FALSE(Files.append({.m_Value = replica::HardState{}}));
+  EXPECT_FALSE(Files.sync());
+}
--- /dev/null
+++ b/tests/runtime/settings_test.cpp
@@ -0,0 +1,74 @@
+#include "runtime/settings.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+using namespace fireflydrift;
+using namespace fireflydrift::runtime;
+
+static const std::string Good = "[vm]\n"
+                                "id = a\n"
+                                "[http]\n"
+                                "host = 127.0.0.1\n"
+                                "port = 7600\n"
+                                "[replica]\n"
+                                "data_folder = /var/lib/fireflydrift\n"
+                                "[vms]\n"
+                                "a = 127.0.0.1:7700 r1 d1 replica\n"
+                                "b = 127.0.0.1:7701 r1 d2 replica\n"
+                                "c = 127.0.0.1:7702 r2 d3 replica\n";
+
+TEST(Settings, ReadsAWholeFile) {
+  auto Values = parseSettings(Good, "x.ini");
+  ASSERT_TRUE(Values) << core::toString(Values.reason());
+  EXPECT_EQ(Values->m_Vms.size(), 3U);
+  EXPECT_EQ(Values->m_Self.m_FailureDomain, "d1");
+  EXPECT_TRUE(Values->m_Self.m_Replica);
+}
+
+TEST(Settings, NamesFileLineKeyAndRule) {
+  struct Case {
+    std::string m_Text;
+    std::string m_Field;
+  };
+  for (const Case &Each : std::vector<Case>{
+           {"[vm]\nid = a\nnoise = 1\n", "x.ini:3 vm.noise"},
+           {"[http]\nport = 70000\n", "x.ini:2 http.port"},
+           {"[http]\nport = 7\nport = 8\n", "x.ini:3 http.port"},
+           {"[vms]\na = 127.0.0.1 r d replica\n", "x.ini:2 vms.a"},
+           {"nonsense\n", "x.ini:1 "},
+           {Good + "[entry]\nmax_held = many\n", "x.ini:13 entry.max_held"}}) {
+    auto Values = parseSettings(Each.m_Text, "x.ini");
+    ASSERT_FALSE(Values) << Each.m_Text;
+    EXPECT_EQ(Values.reason().m_Field, Each.m_Field);
+    EXPECT_FALSE(Values.reason().m_Rule.empty());
+  }
+}
+
+TEST(Settings, ChecksKeysTogether) {
+  EXPECT_FALSE(parseSettings(Good + "[log]\nlevel = loud\n", "x"));
+  std::string Clash = Good;
+  Clash.replace(Clash.find("[vms]"), 0, "heartbeat_ms = 900\n");
+  auto Values = parseSettings(Clash, "x");
+  ASSERT_FALSE(Values);
+  EXPECT_NE(Values.reason().m_Field.find("heartbeat_ms"), std::string::npos);
+  std::string Copies = Good;
+  Copies.replace(Copies.find("[vms]"), 0, "copies = 4\n");
+  EXPECT_FALSE(parseSettings(Copies, "x"));
+  std::string NoFolder = Good;
+  NoFolder.erase(NoFolder.find("data_folder"),
+                 std::string("data_folder = /var/lib/fireflydrift\n").size());
+  EXPECT_FALSE(parseSettings(NoFolder, "x"));
+}
+
+TEST(Settings, AreAllOnTheReferencePage) {
+  std::ifstream Stream(std::string(FIREFLYDRIFT_SOURCE) + "/docs/SETTINGS.md");
+  std::ostringstream Page;
+  Page << Stream.rdbuf();
+  for (const SettingInfo &Each : allSettings()) {
+    std::string Row = std::string("| ") + Each.m_Section + " | " + Each.m_Key +
+                      " | " + Each.m_Help;
+    EXPECT_NE(Page.str().find(Row), std::string::npos) << Row;
+  }
+}
--- a/tests/standin/caller.cpp
+++ b/tests/standin/caller.cpp
@@ -93,7 +93,9 @@
     return {
         .m_Spec = {.m_Key = {core::WorkspaceId(Other ? "reports" : "checks"),
                              core::RequestId(Id)},
-                   .m_Shape = {.m_Tasks = Gang ? 2U + m_Random() % 7U : 1U,
+                   .m_Shape = {.m_Tasks = Gang ? static_cast<std::uint32_t>(
+                                                     2 + m_Random() % 7)
+                                               : 1U,
                                .m_PerTask = {1, 1, 64},
                                .m_Adjacency = Gang ? core::Adjacency::Required
                                                    : core::Adjacency::None},
@@ -122,7 +124,7 @@
         .m_Body = Each.m_Accepted ? std::string()
                                   : messages::encodeJobSpec(Each.m_Spec),
         .m_Timeout = core::Duration(4000)};
-    m_Client.send(Call, [this, &Each](std::optional<HttpAnswer> Answer) {
+    m_Client.send(Call, [this, &Each](const std::optional<HttpAnswer> &Answer) {
       Each.m_InFlight = false;
       take(Each, Answer);
     });
