--- /dev/null
+++ b/benches/core_bench.cpp
@@ -0,0 +1,331 @@
+// One benchmark of the decisions, by name and size. Prints figures that are
+// counts; tools/bench runs it under callgrind, which counts instructions inside
+// measuredRegion() only.
+#include "control/leader.h"
+#include "control/operation.h"
+#include "messages/codec.h"
+#include "messages/json.h"
+
+#include <functional>
+#include <iostream>
+#include <string>
+
+using namespace fireflydrift;
+
+// ---- Sizes -----------------------------------------------------------------
+
+static constexpr int TargetsPerRack = 8;
+static constexpr int Teams = 29;
+static constexpr int Repeats = 10;
+
+namespace {
+
+struct Size {
+  int m_Targets = 970;
+  int m_Tasks = 3600;
+};
+
+} // namespace
+
+// The function whose instructions are counted; kept out of line for its name.
+[[gnu::noinline]] void measuredRegion(const std::function<void()> &Work) {
+  Work();
+}
+
+static void print(const std::string &Name, std::int64_t Value) {
+  std::cout << Name << " " << Value << "\n";
+}
+
+// ---- A fleet at work -------------------------------------------------------
+
+static core::Time start() { return core::timeFromMs(1000000); }
+
+static target::Announcement announcement(int Number) {
+  return {.m_Id = core::TargetId("t" + std::to_string(Number)),
+          .m_Host = "127.0.0.1",
+          .m_Port = 9000,
+          .m_Incarnation = 1,
+          .m_Region = "r" + std::to_string(Number % 2),
+          .m_FailureDomain = "d" + std::to_string(Number % 5),
+          .m_Rack = "k" + std::to_string(Number / TargetsPerRack),
+          .m_Labels = core::Labels(std::map<std::string, std::string>{
+              {"site", "s" + std::to_string(Number % 3)}, {"gpu", "x"}}),
+          .m_Capacity = {8, 64, 262144}};
+}
+
+static configuration::Proposal proposal() {
+  configuration::Proposal Value{.m_Operation = core::OperationId("bench")};
+  for (int I = 0; I < Teams; ++I)
+    Value.m_Workspaces.push_back(
+        {.m_Id = core::WorkspaceId("w" + std::to_string(I)),
+         .m_Quota = 256,
+         .m_MayBorrow = 4096,
+         .m_Guarantees = {
+             {.m_Name = "rack",
+              .m_Shape = {.m_Tasks = 8, .m_PerTask = {8, 0, 0}}}}});
+  return Value;
+}
+
+static job::JobSpec spec(const std::string &Id, int Team, std::uint32_t Tasks,
+                         std::int64_t Accelerators) {
+  return {.m_Key = {core::WorkspaceId("w" + std::to_string(Team)),
+                    core::RequestId(Id)},
+          .m_Shape = {.m_Tasks = Tasks, .m_PerTask = {Accelerators, 4, 1024}},
+          .m_RunTime = core::Duration(4 * 3600 * 1000),
+          .m_Selector = *core::Selector::parse("gpu=x"),
+          .m_Labels = core::Labels(
+              std::map<std::string, std::string>{{"kind", "long"}}),
+          .m_Body = std::string(200, 'b')};
+}
+
+// A state with so many targets, and gangs of eight running on them.
+static control::State busyState(const Size &Of) {
+  control::State State;
+  std::vector<control::Command> Commands{
+      control::ChangeConfiguration{proposal()}};
+  for (int I = 0; I < Of.m_Targets; ++I)
+    Commands.push_back(control::AnnounceTarget{announcement(I)});
+  int Slot = 0;
+  for (int I = 0; I * 8 < Of.m_Tasks; ++I) {
+    job::JobSpec Job = spec("run" + std::to_string(I), I % Teams, 8, 1);
+    placement::Decision Said{.m_Job = Job.m_Key};
+    for (int Task = 0; Task < 8; ++Task)
+      Said.m_Targets.push_back(
+          core::TargetId("t" + std::to_string(Slot++ % Of.m_Targets)));
+    Commands.push_back(control::AcceptJob{Job});
+    Commands.push_back(control::PlaceJob{Said});
+    Commands.push_back(control::StartJob{Job.m_Key, 1});
+  }
+  return control::apply(std::move(State),
+                        {.m_At = start(), .m_Commands = std::move(Commands)})
+      .m_State;
+}
+
+static placement::View viewOf(const control::State &State,
+                              const placement::Witnesses &Witnesses) {
+  return {.m_Fleet = &State.m_Indexes.m_Fleet,
+          .m_Configuration = &State.m_Tables.m_Configuration,
+          .m_Witnesses = &Witnesses,
+          .m_Estimates = &State.m_Tables.m_Estimates};
+}
+
+static placement::Witnesses witnessesOf(const control::State &State) {
+  return placement::assign(State.m_Indexes.m_Fleet,
+                           State.m_Tables.m_Configuration, {}, start());
+}
+
+// ---- Benchmarks ------------------------------------------------------------
+
+static void decide(const Size &Of, std::uint32_t Tasks) {
+  control::State State = busyState(Of);
+  placement::Witnesses Witnesses = witnessesOf(State);
+  placement::View View = viewOf(State, Witnesses);
+  auto Job = *job::Job::create(spec("new", 3, Tasks, 1), start());
+  placement::Decision Said;
+  measuredRegion([&] {
+    for (int I = 0; I < Repeats; ++I)
+      Said = placement::placeGuarded(View, Job, start());
+  });
+  print("repeats", Repeats);
+  print("placed", Said.m_Verdict == placement::Verdict::Placed ? 1 : 0);
+}
+
+static void assignWitnesses(const Size &Of) {
+  control::State State = busyState(Of);
+  placement::Witnesses Witnesses = witnessesOf(State);
+  measuredRegion([&] {
+    for (int I = 0; I < Repeats; ++I)
+      Witnesses =
+          placement::assign(State.m_Indexes.m_Fleet,
+                            State.m_Tables.m_Configuration, Witnesses, start());
+  });
+  print("repeats", Repeats);
+  print("missing", static_cast<std::int64_t>(Witnesses.m_Missing.size()));
+}
+
+// What the leader does in one second with nothing queued.
+static void leadIdle(const Size &Of) {
+  control::State State = busyState(Of);
+  control::Leader Leader = control::beginLeading(State, start());
+  Leader.m_Dispatcher = {};
+  control::LeaderOptions Options;
+  constexpr int Entries = 7;
+  for (int I = 0; I < Of.m_Targets; ++I)
+    Leader.m_Signs.m_Entries[core::VmId("v" + std::to_string(I % Entries))]
+        .m_Targets.insert(core::TargetId("t" + std::to_string(I)));
+  core::Time Now = start();
+  auto Second = [&] {
+    for (int I = 0; I < 40; ++I) {
+      Now += core::Duration(25);
+      for (auto &[Vm, Known] : Leader.m_Signs.m_Entries)
+        Known.m_HeardAt = Now;
+      Leader =
+          control::lead(std::move(Leader), State, Options, true, Now).m_Leader;
+    }
+  };
+  Second();
+  measuredRegion([&] {
+    for (int I = 0; I < Repeats; ++I)
+      Second();
+  });
+  print("repeats", Repeats);
+}
+
+// One job from its acceptance to its answer, without the network.
+static void jobLife(const Size &Of) {
+  control::State State = busyState(Of);
+  placement::Witnesses Witnesses = witnessesOf(State);
+  std::int64_t Bytes = 0;
+  measuredRegion([&] {
+    for (int I = 0; I < Repeats; ++I) {
+      job::JobSpec Job = spec("life" + std::to_string(I), 3, 1, 1);
+      auto Commit = [&](control::Command Value) {
+        std::string Encoded = messages::encode(
+            control::Batch{.m_At = start(), .m_Commands = {std::move(Value)}});
+        Bytes += static_cast<std::int64_t>(Encoded.size());
+        State =
+            control::apply(std::move(State), *messages::decodeBatch(Encoded))
+                .m_State;
+      };
+      Commit(control::AcceptJob{Job});
+      placement::View View = viewOf(State, Witnesses);
+      Commit(control::PlaceJob{placement::placeGuarded(
+          View, *control::findJob(State, Job.m_Key), start())});
+      Commit(control::StartJob{Job.m_Key, 1});
+      Commit(control::FinishTask{.m_Job = Job.m_Key,
+                                 .m_Attempt = 1,
+                                 .m_Answer = std::string(200, 'a')});
+    }
+  });
+  print("repeats", Repeats);
+  print("log_bytes_per_job", Bytes / Repeats);
+}
+
+static void snapshot(const Size &Of) {
+  control::State State = busyState(Of);
+  std::string Encoded;
+  measuredRegion([&] {
+    Encoded = messages::encode(State.m_Tables);
+    State = control::restore(*messages::decodeTables(Encoded));
+  });
+  print("repeats", 1);
+  print("state_bytes", static_cast<std::int64_t>(Encoded.size()));
+}
+
+static void configure(const Size &Of) {
+  control::State State = busyState(Of);
+  placement::Witnesses Witnesses = witnessesOf(State);
+  std::int64_t Bytes = 0;
+  measuredRegion([&] {
+    for (int I = 0; I < Repeats; ++I) {
+      configuration::Proposal Next = proposal();
+      Next.m_Operation = core::OperationId("op" + std::to_string(I));
+      Next.m_Replaces = State.m_Tables.m_Configuration.version();
+      control::Handling Asked =
+          control::handle(State, control::Configure{Next}, Witnesses, start());
+      control::Batch Batch{.m_At = start(), .m_Commands = Asked.m_Commands};
+      std::string Encoded = messages::encode(Batch);
+      Bytes += static_cast<std::int64_t>(Encoded.size());
+      State = control::apply(std::move(State), *messages::decodeBatch(Encoded))
+                  .m_State;
+    }
+  });
+  print("repeats", Repeats);
+  print("log_bytes_per_change", Bytes / Repeats);
+}
+
+// What an entry VM does for one target's beat, beside HTTP itself.
+static void beat(const Size &Of) {
+  routing::EntrySigns Signs;
+  routing::SignsOptions Options;
+  core::Time Now = start();
+  constexpr int Beats = 1000;
+  std::int64_t Bytes = 0;
+  measuredRegion([&] {
+    for (int I = 0; I < Beats; ++I) {
+      auto Said =
+          messages::decodeReport(messages::encodeReport({.m_Incarnation = 1}));
+      Signs = routing::heard(
+          std::move(Signs),
+          core::TargetId("t" + std::to_string(I % Of.m_Targets)), Now);
+      Bytes += static_cast<std::int64_t>(
+          messages::encodeReportReply({.m_Known = bool(Said)}).size());
+    }
+  });
+  routing::Summarised First =
+      routing::summarise(std::move(Signs), Options, true, Now);
+  auto SizeOf = [](const routing::SignsSummary &Value) {
+    return static_cast<std::int64_t>(
+        messages::encode(
+            messages::Envelope{core::VmId("a"), messages::TellSigns{Value}})
+            .size());
+  };
+  print("repeats", Beats);
+  print("full_summary_bytes", SizeOf(First.m_Summary));
+  routing::Summarised Quiet =
+      routing::summarise(std::move(First.m_Signs), Options, false, Now);
+  print("quiet_summary_bytes", SizeOf(Quiet.m_Summary));
+}
+
+// Bytes of the messages that flow while nothing happens.
+static void idleBytes() {
+  auto SizeOf = [](messages::Body Value) {
+    return static_cast<std::int64_t>(
+        messages::encode(messages::Envelope{core::VmId("a"), std::move(Value)})
+            .size());
+  };
+  print("heartbeat_bytes", SizeOf(messages::ReplicaMessage{replica::Append{}}));
+  print("heartbeat_reply_bytes",
+        SizeOf(messages::ReplicaMessage{replica::AppendReply{}}));
+  print("beat_bytes",
+        static_cast<std::int64_t>(
+            messages::encode(membership::Beat{.m_From = core::VmId("a"),
+                                              .m_Leader = core::VmId("b")})
+                .size()));
+}
+
+// Log entries of one hundred small commands, in batches of so many.
+static void batching(int BatchSize) {
+  std::int64_t Bytes = 0;
+  constexpr int Commands = 100;
+  measuredRegion([&] {
+    for (int I = 0; I < Commands; I += BatchSize) {
+      control::Batch Batch{.m_At = start()};
+      for (int Each = 0; Each < BatchSize; ++Each)
+        Batch.m_Commands.push_back(
+            control::AcceptJob{spec("b" + std::to_string(I + Each), 1, 1, 1)});
+      messages::JournalRecord Record{
+          replica::Entry{.m_Commands = messages::encode(Batch)}};
+      Bytes += static_cast<std::int64_t>(messages::encode(Record).size());
+    }
+  });
+  print("repeats", Commands);
+  print("journal_bytes_per_command", Bytes / Commands);
+}
+
+int main(int Count, char **Words) {
+  if (Count != 4) {
+    std::cerr << "usage: bench_core NAME TARGETS TASKS\n";
+    return 2;
+  }
+  std::string Name = Words[1];
+  Size Of{.m_Targets = std::stoi(Words[2]), .m_Tasks = std::stoi(Words[3])};
+  const std::map<std::string, std::function<void()>> All{
+      {"decide-gang64", [&] { decide(Of, core::MaxGangTasks); }},
+      {"decide-single", [&] { decide(Of, 1); }},
+      {"witnesses", [&] { assignWitnesses(Of); }},
+      {"lead-idle", [&] { leadIdle(Of); }},
+      {"job-life", [&] { jobLife(Of); }},
+      {"snapshot", [&] { snapshot(Of); }},
+      {"configure", [&] { configure(Of); }},
+      {"beat", [&] { beat(Of); }},
+      {"idle-bytes", [&] { idleBytes(); }},
+      {"batching", [&] { batching(Of.m_Tasks); }}};
+  auto Found = All.find(Name);
+  if (Found == All.end()) {
+    std::cerr << "no benchmark " << Name << "\n";
+    return 2;
+  }
+  Found->second();
+  return 0;
+}
--- a/packages/placement/witness.cpp
+++ b/packages/placement/witness.cpp
@@ -1,6 +1,8 @@
 #include "placement/witness.h"
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 
 namespace fireflydrift::placement {
 
@@ -37,6 +39,8 @@
 struct Room {
   const Slot *m_Slot = nullptr;
   std::uint32_t m_Tasks = 0;
+  // Place among the rooms, to choose the same ones each time.
+  std::size_t m_Order = 0;
 };
 
 } // namespace
@@ -46,10 +50,15 @@
     All[Id] = All[Id] + Value.m_PerTask * Tasks;
 }
 
+static core::Capacity reclaimable(const Slot &Value, const Need &For,
+                                  core::Time Now) {
+  return reclaimable(Value, For.m_Key.m_Workspace,
+                     For.m_Guarantee->m_ReclaimWithin, Now);
+}
+
 static core::Capacity roomOn(const Slot &Value, const Need &For,
                              const Claims &Taken, core::Time Now) {
-  core::Capacity Amount = reclaimable(Value, For.m_Key.m_Workspace,
-                                      For.m_Guarantee->m_ReclaimWithin, Now);
+  core::Capacity Amount = reclaimable(Value, For, Now);
   auto Claimed = Taken.find(Value.m_Target.id());
   return Claimed == Taken.end() ? Amount : Amount - Claimed->second;
 }
@@ -75,9 +84,13 @@
 // Takes tasks from the fullest rooms first, so that few targets are used.
 static std::map<core::TargetId, std::uint32_t> take(std::vector<Room> Rooms,
                                                     std::uint32_t Tasks) {
-  std::stable_sort(
-      Rooms.begin(), Rooms.end(),
-      [](const Room &A, const Room &B) { return A.m_Tasks > B.m_Tasks; });
+  // No more rooms than tasks are ever taken.
+  auto Enough = Rooms.begin() + static_cast<std::ptrdiff_t>(
+                                    std::min<std::size_t>(Rooms.size(), Tasks));
+  std::partial_sort(
+      Rooms.begin(), Enough, Rooms.end(), [](const Room &A, const Room &B) {
+        return std::tie(B.m_Tasks, A.m_Order) < std::tie(A.m_Tasks, B.m_Order);
+      });
   std::map<core::TargetId, std::uint32_t> Taken;
   for (const Room &Each : Rooms) {
     std::uint32_t Here = std::min(Each.m_Tasks, Tasks);
@@ -99,39 +112,60 @@
       std::min<std::uint64_t>(Total, core::MaxGangTasks));
 }
 
-static std::map<core::TargetId, std::uint32_t> findPlace(const Need &For,
-                                                         const Fleet &All,
-                                                         const Claims &Taken,
-                                                         core::Time Now) {
-  const core::Shape &Shape = For.m_Guarantee->m_Shape;
-  std::map<std::string, std::vector<Room>> Racks;
-  std::vector<Room> Everywhere;
+// Every target that could hold a task of the shape.
+static std::vector<Room> findRooms(const Need &For, const Fleet &All,
+                                   const Claims &Taken, core::Time Now) {
+  const workspace::Guarantee &Wanted = *For.m_Guarantee;
+  std::vector<Room> Rooms;
+  // Both tables are in the order of ids, so they are walked side by side.
+  auto Claimed = Taken.begin();
   for (const auto &[Id, Value] : All.slots()) {
+    while (Claimed != Taken.end() && Claimed->first < Id)
+      ++Claimed;
     const target::Announcement &Said = Value.m_Target.announcement();
     if (!Value.m_Target.takesWork(Now) ||
-        !For.m_Guarantee->m_Selector.matches(Said.m_Labels))
-      continue;
-    Room Here{.m_Slot = &Value,
-              .m_Tasks = std::min(
-                  roomOn(Value, For, Taken, Now).count(Shape.m_PerTask),
-                  core::MaxGangTasks)};
-    if (Here.m_Tasks == 0)
+        !Wanted.m_Selector.matches(Said.m_Labels))
       continue;
-    Racks[Said.m_Rack].push_back(Here);
-    Everywhere.push_back(Here);
+    core::Capacity Amount = reclaimable(Value, For, Now);
+    if (Claimed != Taken.end() && Claimed->first == Id)
+      Amount = Amount - Claimed->second;
+    std::uint32_t Tasks = Amount.count(Wanted.m_Shape.m_PerTask);
+    if (Tasks > 0)
+      Rooms.push_back({.m_Slot = &Value,
+                       .m_Tasks = std::min(Tasks, core::MaxGangTasks),
+                       .m_Order = Rooms.size()});
   }
+  return Rooms;
+}
+
+// The rooms of the rack that holds the shape on fewest targets; empty if no
+// rack does.
+static std::vector<Room> bestRack(const std::vector<Room> &Rooms,
+                                  std::uint32_t Tasks) {
+  std::map<std::string_view, std::vector<Room>> Racks;
+  for (const Room &Each : Rooms)
+    Racks[Each.m_Slot->m_Target.announcement().m_Rack].push_back(Each);
   const std::vector<Room> *Best = nullptr;
-  for (const auto &[Rack, Rooms] : Racks) {
-    if (totalTasks(Rooms) < Shape.m_Tasks)
-      continue;
-    if (!Best || Rooms.size() < Best->size())
-      Best = &Rooms;
-  }
-  if (Shape.m_Adjacency != core::Adjacency::None && Best)
-    return take(*Best, Shape.m_Tasks);
+  for (const auto &[Rack, Here] : Racks)
+    if (totalTasks(Here) >= Tasks && (!Best || Here.size() < Best->size()))
+      Best = &Here;
+  return Best ? *Best : std::vector<Room>();
+}
+
+static std::map<core::TargetId, std::uint32_t> findPlace(const Need &For,
+                                                         const Fleet &All,
+                                                         const Claims &Taken,
+                                                         core::Time Now) {
+  const core::Shape &Shape = For.m_Guarantee->m_Shape;
+  std::vector<Room> Rooms = findRooms(For, All, Taken, Now);
+  if (Shape.m_Adjacency == core::Adjacency::None)
+    return take(std::move(Rooms), Shape.m_Tasks);
+  std::vector<Room> Rack = bestRack(Rooms, Shape.m_Tasks);
+  if (!Rack.empty())
+    return take(std::move(Rack), Shape.m_Tasks);
   if (Shape.m_Adjacency == core::Adjacency::Required)
     return {};
-  return take(std::move(Everywhere), Shape.m_Tasks);
+  return take(std::move(Rooms), Shape.m_Tasks);
 }
 
 static std::vector<Need>
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -78,7 +78,7 @@
 } // namespace
 
 #define PART(EXPRESSION)                                                       \
-  [](Settings & Value) -> auto & { return (Value.EXPRESSION); }
+  ([](Settings & Value) -> auto & { return (Value.EXPRESSION); })
 
 static std::vector<Key> makeKeys() {
   return {
