Test placement, dispatcher and the HTTP front; take back only what stops give

A job that waited past its patience was 'reclaiming' with no victim at all: targets that a witness or the short reserve kept from it looked free to the plan, which then held them against everyone.

--- a/packages/messages/json.cpp
+++ b/packages/messages/json.cpp
@@ -301,7 +301,8 @@
 // ---- Calls to targets ------------------------------------------------------
 
 std::string encodeCall(const control::Call &Value) {
-  Json Out{{"workspace", Value.m_Lease.m_Job.m_Workspace.text()},
+  Json Out{{"target", Value.m_Target.text()},
+           {"workspace", Value.m_Lease.m_Job.m_Workspace.text()},
            {"id", Value.m_Lease.m_Job.m_Request.text()},
            {"attempt", Value.m_Lease.m_Attempt},
            {"fence", Value.m_Lease.m_Fence},
@@ -317,6 +318,7 @@
 core::Outcome<control::Call> decodeCall(const std::string &Text) {
   ObjectReader In = ObjectReader::parse(Text);
   control::Call Value;
+  Value.m_Target = core::TargetId(In.text("target"));
   Value.m_Lease.m_Job = readKey(In);
   Value.m_Lease.m_Attempt = In.index("attempt");
   Value.m_Lease.m_Fence = static_cast<std::uint64_t>(In.integer("fence", 0));
--- a/packages/placement/place.cpp
+++ b/packages/placement/place.cpp
@@ -51,13 +51,22 @@
   return nullptr;
 }
 
+// Capacity that witnesses of other workspaces keep from the job.
+static std::map<core::TargetId, core::Capacity>
+claimsOfOthers(const View &All, const job::Job &For) {
+  if (For.isReclaimable())
+    return {};
+  return claimsAgainst(*All.m_Witnesses, For.key().m_Workspace,
+                       All.m_Estimates->runTime(For.spec()));
+}
+
 static Candidates findCandidates(const View &All, const job::Job &For,
                                  core::Time Now, bool Guarded, Decision &Said) {
   const core::Shape &Shape = For.spec().m_Shape;
   core::Duration RunTime = All.m_Estimates->runTime(For.spec());
   std::map<core::TargetId, core::Capacity> Claims;
-  if (Guarded && !For.isReclaimable())
-    Claims = claimsAgainst(*All.m_Witnesses, For.key().m_Workspace, RunTime);
+  if (Guarded)
+    Claims = claimsOfOthers(All, For);
 
   Candidates Found;
   for (const auto &[Id, Value] : All.m_Fleet->slots()) {
@@ -346,20 +355,25 @@
                        workspace::Standing::WithinQuota;
 }
 
-// Targets as they would be once the allowed occupants were stopped.
+// Targets as they would be once the allowed occupants were stopped. Without
+// UseFree only what the stops give back counts.
 static Candidates findReclaimable(const View &All, const job::Job &For,
-                                  core::Time Now, const MayStop &Allowed) {
+                                  core::Time Now, const MayStop &Allowed,
+                                  bool UseFree) {
   const core::Shape &Shape = For.spec().m_Shape;
   core::Time End = Now + All.m_Estimates->runTime(For.spec());
+  std::map<core::TargetId, core::Capacity> Claims = claimsOfOthers(All, For);
   Candidates Found;
   for (const auto &[Id, Value] : All.m_Fleet->slots()) {
     if (!unmetRule(All, Value, For, Now).empty() ||
         heldAgainst(All, Id, For, End))
       continue;
-    core::Capacity Available = Value.free();
+    core::Capacity Available = UseFree ? Value.free() : core::Capacity();
     for (const Occupant &Each : Value.m_Occupants)
       if (Each.m_Stopping || (Each.m_Reclaimable && Allowed(Each)))
         Available = Available + Each.m_Capacity;
+    if (auto Claimed = Claims.find(Id); Claimed != Claims.end())
+      Available = Available - Claimed->second;
     std::uint32_t Tasks =
         std::min(Available.count(Shape.m_PerTask), Shape.m_Tasks);
     if (Tasks > 0)
@@ -369,10 +383,25 @@
   return Found;
 }
 
-// A plan that stops work of borrowers for a job within its own quota.
+static bool isStoppingOn(const View &All,
+                         const std::vector<core::TargetId> &Targets) {
+  return std::any_of(
+      Targets.begin(), Targets.end(), [&](const core::TargetId &Id) {
+        const auto &Occupants = All.m_Fleet->find(Id)->m_Occupants;
+        return std::any_of(
+            Occupants.begin(), Occupants.end(),
+            [](const Occupant &Each) { return Each.m_Stopping; });
+      });
+}
+
+// A plan that stops work of borrowers for a job within its own quota. Long
+// work that the short reserve holds back may only have what the stops give,
+// and only while the reserve itself is free.
 static bool planTakeBack(const View &All, const job::Job &For, core::Time Now,
-                         Decision &Said) {
-  if (!mayTakeBack(All, For, Now))
+                         bool HeldByReserve, Decision &Said) {
+  bool ReserveIsFree = All.m_Fleet->freeAccelerators() >=
+                       All.m_Configuration->limits().m_ShortReserve;
+  if (!mayTakeBack(All, For, Now) || (HeldByReserve && !ReserveIsFree))
     return false;
   MayStop Borrowed = [&](const Occupant &Each) {
     return Each.m_Job.m_Workspace != For.key().m_Workspace &&
@@ -380,14 +409,15 @@
   };
   const core::Shape &Shape = For.spec().m_Shape;
   std::string Ignored;
-  std::vector<core::TargetId> Chosen =
-      chooseTargets(findReclaimable(All, For, Now, Borrowed), Shape, Ignored);
+  std::vector<core::TargetId> Chosen = chooseTargets(
+      findReclaimable(All, For, Now, Borrowed, !HeldByReserve), Shape, Ignored);
   std::set<core::JobKey> Victims;
   for (const auto &[Id, Tasks] : tasksByTarget(Chosen))
     if (!addVictims(*All.m_Fleet->find(Id), Shape.m_PerTask * Tasks, Borrowed,
                     Now, Victims))
       return false;
-  if (Chosen.empty())
+  // Room that needs no stop is kept from the job by another rule.
+  if (Victims.empty() && !isStoppingOn(All, Chosen))
     return false;
   Said.m_Verdict = Verdict::Reclaiming;
   Said.m_Targets = std::move(Chosen);
@@ -449,7 +479,7 @@
   if (!Said.m_Targets.empty())
     Said.m_Verdict = Verdict::Placed;
   else if (!planReclaim(All, Value, Now, Said))
-    (void)planTakeBack(All, Value, Now, Said);
+    (void)planTakeBack(All, Value, Now, Reserved, Said);
   return Said;
 }
 
--- /dev/null
+++ b/tests/control/dispatcher_test.cpp
@@ -0,0 +1,145 @@
+#include "control/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+using namespace fireflydrift;
+using namespace fireflydrift::control;
+
+namespace {
+
+const core::Time Now = core::timeFromMs(1000);
+const core::JobKey Key{core::WorkspaceId("w"), core::RequestId("r")};
+
+// A gang of two, placed on two targets.
+State placed(bool Idempotent) {
+  auto Target = [](const char *Id) {
+    return AnnounceTarget{{.m_Id = core::TargetId(Id),
+                           .m_Host = "127.0.0.1",
+                           .m_Port = 1,
+                           .m_Region = "r",
+                           .m_FailureDomain = "d",
+                           .m_Rack = "k",
+                           .m_Capacity = {8, 8, 8}}};
+  };
+  return apply(
+             {},
+             {.m_At = Now,
+              .m_Commands =
+                  {ChangeConfiguration{
+                       {.m_Operation = core::OperationId("o"),
+                        .m_Workspaces = {{.m_Id = core::WorkspaceId("w"),
+                                          .m_Quota = 8}}}},
+                   Target("a"), Target("b"),
+                   AcceptJob{{.m_Key = Key,
+                              .m_Shape = {.m_Tasks = 2, .m_PerTask = {1, 0, 0}},
+                              .m_Idempotent = Idempotent}},
+                   PlaceJob{{.m_Job = Key,
+                             .m_Targets = {core::TargetId("a"),
+                                           core::TargetId("b")}}}}})
+      .m_State;
+}
+
+CallReply reply(const Call &To, CallOutcome Outcome) {
+  return {.m_Verb = To.m_Verb,
+          .m_Target = To.m_Target,
+          .m_Lease = To.m_Lease,
+          .m_Outcome = Outcome};
+}
+
+State after(State Current, const Command &Value) {
+  return apply(std::move(Current), {.m_At = Now, .m_Commands = {Value}})
+      .m_State;
+}
+
+} // namespace
+
+TEST(Dispatcher, StartsOnlyOnceEveryMemberReserved) {
+  State State = placed(true);
+  Dispatched Next = due(follow({}, State, Key, Now), State, {}, Now);
+  ASSERT_EQ(Next.m_Calls.size(), 2U);
+  Call First = Next.m_Calls[0];
+  Call Second = Next.m_Calls[1];
+  EXPECT_EQ(First.m_Verb, Verb::Reserve);
+  EXPECT_EQ(First.m_Lease.m_Fence, 1U);
+  Next = answered(std::move(Next.m_Dispatcher), State,
+                  reply(First, CallOutcome::Accepted), {}, Now);
+  EXPECT_TRUE(Next.m_Commands.empty());
+  Next = answered(std::move(Next.m_Dispatcher), State,
+                  reply(Second, CallOutcome::Accepted), {}, Now);
+  ASSERT_EQ(Next.m_Commands.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<StartJob>(Next.m_Commands[0]));
+}
+
+TEST(Dispatcher, ARefusedReservationReleasesTheGang) {
+  State State = placed(false);
+  Dispatched Next = due(follow({}, State, Key, Now), State, {}, Now);
+  Call Second = Next.m_Calls[1];
+  Next = answered(std::move(Next.m_Dispatcher), State,
+                  reply(Second, CallOutcome::Refused), {}, Now);
+  ASSERT_EQ(Next.m_Commands.size(), 1U);
+  EXPECT_FALSE(std::get<RefuseJob>(Next.m_Commands[0]).m_MayHaveRun);
+}
+
+TEST(Dispatcher, AStartWithoutAnswerIsRepeatedUnderTheSameLease) {
+  State State = after(placed(false), StartJob{Key, 1});
+  Dispatched Next = due(follow({}, State, Key, Now), State, {}, Now);
+  Call First = Next.m_Calls[0];
+  Next = answered(std::move(Next.m_Dispatcher), State,
+                  reply(First, CallOutcome::NoAnswer), {}, Now);
+  EXPECT_TRUE(Next.m_Commands.empty());
+  DispatchOptions Options;
+  Next = due(std::move(Next.m_Dispatcher), State, Options,
+             Now + Options.m_FirstRetry);
+  ASSERT_EQ(Next.m_Calls.size(), 1U);
+  EXPECT_EQ(Next.m_Calls[0].m_Lease, First.m_Lease);
+}
+
+TEST(Dispatcher, AStartThatMayHaveArrivedIsNotCalledNotRun) {
+  State State = after(placed(false), StartJob{Key, 1});
+  DispatchOptions Options;
+  Dispatched Next = due(follow({}, State, Key, Now), State, Options, Now);
+  Call First = Next.m_Calls[0];
+  Next = answered(std::move(Next.m_Dispatcher), State,
+                  reply(First, CallOutcome::NoAnswer), Options, Now);
+  core::Time Later = Now + Options.m_FirstRetry;
+  Next = due(std::move(Next.m_Dispatcher), State, Options, Later);
+  Next = answered(std::move(Next.m_Dispatcher), State,
+                  reply(First, CallOutcome::UnknownLease), Options, Later);
+  ASSERT_EQ(Next.m_Commands.size(), 1U);
+  EXPECT_TRUE(std::get<RefuseJob>(Next.m_Commands[0]).m_MayHaveRun);
+}
+
+TEST(Dispatcher, ANewLeaderTrustsNoStartOfTheOldOne) {
+  State State = after(placed(false), StartJob{Key, 1});
+  Dispatched Next = due(inherit(State, Now), State, {}, Now);
+  ASSERT_EQ(Next.m_Calls.size(), 2U);
+  Next = answered(std::move(Next.m_Dispatcher), State,
+                  reply(Next.m_Calls[0], CallOutcome::UnknownLease), {}, Now);
+  ASSERT_EQ(Next.m_Commands.size(), 1U);
+  EXPECT_TRUE(std::get<RefuseJob>(Next.m_Commands[0]).m_MayHaveRun);
+}
+
+TEST(Dispatcher, StopsAreConfirmedByEveryMemberOrItsLoss) {
+  State State = after(after(placed(true), StartJob{Key, 1}), CancelJob{Key});
+  Dispatched Next = due(follow({}, State, Key, Now), State, {}, Now);
+  ASSERT_EQ(Next.m_Calls.size(), 2U);
+  EXPECT_EQ(Next.m_Calls[0].m_Verb, Verb::Stop);
+  Next = answered(std::move(Next.m_Dispatcher), State,
+                  reply(Next.m_Calls[0], CallOutcome::Accepted), {}, Now);
+  EXPECT_TRUE(Next.m_Commands.empty());
+  State = after(std::move(State), LoseTarget{core::TargetId("b")});
+  Next = due(std::move(Next.m_Dispatcher), State, {}, Now);
+  ASSERT_EQ(Next.m_Commands.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<ConfirmStopped>(Next.m_Commands[0]));
+}
+
+TEST(Dispatcher, LateAnswersOfAnotherStageAreIgnored) {
+  State State = placed(true);
+  Dispatched Next = due(follow({}, State, Key, Now), State, {}, Now);
+  CallReply Late = reply(Next.m_Calls[0], CallOutcome::Refused);
+  Late.m_Lease.m_Attempt = 0;
+  Dispatcher Before = Next.m_Dispatcher;
+  Next = answered(std::move(Next.m_Dispatcher), State, Late, {}, Now);
+  EXPECT_TRUE(Next.m_Commands.empty());
+  EXPECT_EQ(Next.m_Dispatcher, Before);
+}
--- a/tests/messages/codec_test.cpp
+++ b/tests/messages/codec_test.cpp
@@ -48,6 +48,7 @@
       TellSigns{{.m_Sequence = 2, .m_Appeared = {core::TargetId("t")}}},
       AskSigns{}};
   std::vector<Envelope> All;
+  All.reserve(Bodies.size());
   for (Body &Each : Bodies)
     All.push_back({core::VmId("v"), std::move(Each)});
   return All;
@@ -61,6 +62,10 @@
   }
 }
 
+static void flipBits(char &Value, unsigned long Bits) {
+  Value = static_cast<char>(static_cast<unsigned char>(Value) ^ Bits);
+}
+
 TEST(Codec, RefusesDamagedMessages) {
   std::minstd_rand Random(17);
   int Tried = 0;
@@ -70,8 +75,7 @@
       std::string Broken = Bytes;
       switch (Random() % 3) {
       case 0:
-        Broken[Random() % Broken.size()] ^=
-            static_cast<char>(1 + Random() % 255);
+        flipBits(Broken[Random() % Broken.size()], 1 + Random() % 255);
         break;
       case 1:
         Broken.resize(Random() % Broken.size());
--- a/tests/messages/json_test.cpp
+++ b/tests/messages/json_test.cpp
@@ -81,6 +81,7 @@
 TEST(Json, CallsAndReportsComeBackAsTheyWere) {
   control::Call Call{
       .m_Verb = control::Verb::Start,
+      .m_Target = core::TargetId("t"),
       .m_Lease = {{core::WorkspaceId("w"), core::RequestId("r")}, 3, 9},
       .m_Tasks = {0, 2},
       .m_PerTask = {1, 2, 3},
--- a/tests/runtime/events_test.cpp
+++ b/tests/runtime/events_test.cpp
@@ -41,6 +41,10 @@
   }
 }
 
+static std::string rowOf(const std::string &Name, const std::string &Help) {
+  return std::string("| ").append(Name).append(" | ").append(Help);
+}
+
 TEST(Counters, AreAllOnTheirPageAndPrinted) {
   std::string Page = readPage("METRICS.md");
   Counters Values;
@@ -48,7 +52,7 @@
   Values.set("fireflydrift_jobs", 2, "outcome=\"queued\"");
   std::string Text = Values.text();
   for (const auto &[Name, Help] : allMetrics()) {
-    EXPECT_NE(Page.find("| " + Name + " | " + Help), std::string::npos) << Name;
+    EXPECT_NE(Page.find(rowOf(Name, Help)), std::string::npos) << Name;
     EXPECT_NE(Text.find("\n" + Name), std::string::npos) << Name;
   }
   EXPECT_NE(Text.find("fireflydrift_retries_total 3\n"), std::string::npos);
--- a/tests/standin/caller.cpp
+++ b/tests/standin/caller.cpp
@@ -29,6 +29,9 @@
   int m_RunMs = 50;
   std::string m_Starts;
   std::string m_Label = "demo";
+  // The two workspaces that the jobs belong to.
+  std::string m_First = "reports";
+  std::string m_Second = "checks";
   int m_TimeoutSeconds = 100;
 };
 
@@ -91,7 +94,8 @@
     Runs = core::Duration(std::abs(Runs.count()) + 1);
     bool Other = Percent(50);
     return {
-        .m_Spec = {.m_Key = {core::WorkspaceId(Other ? "reports" : "checks"),
+        .m_Spec = {.m_Key = {core::WorkspaceId(Other ? m_Options.m_First
+                                                     : m_Options.m_Second),
                              core::RequestId(Id)},
                    .m_Shape = {.m_Tasks = Gang ? static_cast<std::uint32_t>(
                                                      2 + m_Random() % 7)
@@ -247,6 +251,7 @@
   char *Servers = nullptr;
   char *Starts = nullptr;
   char *Name = nullptr;
+  char *Workspace = nullptr;
   int Seed = 1;
   const poptOption Table[] = {
       {"servers", 0, POPT_ARG_STRING, &Servers, 0, "host:port,...", nullptr},
@@ -258,6 +263,8 @@
       {"run-ms", 0, POPT_ARG_INT, &Values.m_RunMs, 0, "Longest run", nullptr},
       {"starts", 0, POPT_ARG_STRING, &Starts, 0, "File of starts", nullptr},
       {"name", 0, POPT_ARG_STRING, &Name, 0, "Name of the run", nullptr},
+      {"workspace", 0, POPT_ARG_STRING, &Workspace, 0,
+       "One workspace for all jobs", nullptr},
       {"timeout", 0, POPT_ARG_INT, &Values.m_TimeoutSeconds, 0, "Seconds",
        nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -267,6 +274,8 @@
     return 2;
   Values.m_Seed = static_cast<unsigned>(Seed);
   Values.m_Label = Name;
+  if (Workspace)
+    Values.m_First = Values.m_Second = Workspace;
   std::istringstream Stream{std::string(Servers)};
   std::string Part;
   while (std::getline(Stream, Part, ',')) {
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -23,6 +23,11 @@
   std::string m_StartsFile;
   std::string m_Token;
   core::Duration m_Beat{1000};
+  // Targets that this process plays, and how many of them share a rack.
+  int m_Count = 1;
+  int m_PerRack = 8;
+  // Spreads the beats of several targets over the time between two.
+  core::Duration m_Phase{0};
 };
 
 struct Task {
@@ -41,30 +46,28 @@
 // One stand-in process.
 class Standin {
 public:
-  Standin(Loop &On, Options Values)
-      : m_Loop(On), m_Options(std::move(Values)), m_Client(On),
+  Standin(Loop &On, HttpClient &Client, Options Values)
+      : m_Loop(On), m_Options(std::move(Values)), m_Client(Client),
         m_Starts(m_Options.m_StartsFile, std::ios::app),
+        m_ReportedAt(On.now() - m_Options.m_Beat + m_Options.m_Phase),
         m_LeaseEnd(On.now() + core::Duration(60000)) {}
 
-  void handle(const HttpRequest &Request, const Responder &Respond) {
+  void handle(const HttpRequest &Request, const control::Call &Call,
+              const Responder &Respond) {
     if (m_Options.m_Mode == "silent" && m_AnyStart)
       return;
-    auto Call = messages::decodeCall(Request.m_Body);
-    if (!Call)
-      return Respond({.m_Status = 400, .m_Body = "{}"});
     control::CallOutcome Outcome = control::CallOutcome::Refused;
     if (Request.m_Path == "/v1/reserve")
-      Outcome = reserve(*Call);
+      Outcome = reserve(Call);
     else if (Request.m_Path == "/v1/start")
-      Outcome = start(*Call);
+      Outcome = start(Call);
     else if (Request.m_Path == "/v1/stop")
-      Outcome = stop(*Call);
+      Outcome = stop(Call);
     Respond({.m_Body = messages::encodeCallOutcome(Outcome)});
   }
 
   void turn() {
     core::Time Now = m_Loop.now();
-    m_Client.expire(Now);
     if (m_Options.m_Mode == "silent" && m_AnyStart)
       return;
     if (Now >= m_LeaseEnd)
@@ -224,7 +227,7 @@
 
   Loop &m_Loop;
   Options m_Options;
-  HttpClient m_Client;
+  HttpClient &m_Client;
   std::ofstream m_Starts;
   std::map<control::Lease, HeldLease> m_Held;
   std::set<control::Lease> m_Finished;
@@ -269,6 +272,7 @@
   int Port = 0;
   int Accelerators = 8;
   int First = 0;
+  int Targets = 1;
   const poptOption Table[] = {
       {"id", 0, POPT_ARG_STRING, &Id, 0, "Target id", nullptr},
       {"port", 0, POPT_ARG_INT, &Port, 0, "Port", nullptr},
@@ -284,6 +288,8 @@
       {"starts", 0, POPT_ARG_STRING, &Starts, 0, "File of starts", nullptr},
       {"accelerators", 0, POPT_ARG_INT, &Accelerators, 0, "Accelerators",
        nullptr},
+      {"count", 0, POPT_ARG_INT, &Targets, 0, "Targets in this process",
+       nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext Context =
       poptGetContext("standin_target", Count, Words, Table, 0);
@@ -311,18 +317,41 @@
               Values.m_Entries.begin() +
                   First % static_cast<int>(Values.m_Entries.size()),
               Values.m_Entries.end());
+  Values.m_Count = Targets;
   Values.m_Mode = Or(Mode, "normal");
   Values.m_StartsFile = Or(Starts, "/dev/null");
   poptFreeContext(Context);
   return Values;
 }
 
+// One of several targets in this process: its own id, rack and first entry.
+static Options numbered(Options Values, int Number) {
+  if (Values.m_Count == 1)
+    return Values;
+  target::Announcement &Said = Values.m_Said;
+  std::string Rack = std::to_string(Number / Values.m_PerRack);
+  Said.m_Id = core::TargetId(Said.m_Id.text() + "-" + std::to_string(Number));
+  Said.m_Rack += "-" + Rack;
+  Values.m_Phase = Values.m_Beat * Number / Values.m_Count;
+  std::rotate(Values.m_Entries.begin(),
+              Values.m_Entries.begin() +
+                  Number % static_cast<int>(Values.m_Entries.size()),
+              Values.m_Entries.end());
+  return Values;
+}
+
 int main(int Count, char **Words) {
   Options Values = readOptions(Count, const_cast<const char **>(Words));
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, [](int) { Stopped = 1; });
   Loop On;
-  Standin Self(On, Values);
+  HttpClient Client(On);
+  std::map<core::TargetId, std::unique_ptr<Standin>> All;
+  for (int I = 0; I < Values.m_Count; ++I) {
+    Options Each = numbered(Values, I);
+    core::TargetId Id = Each.m_Said.m_Id;
+    All.emplace(Id, std::make_unique<Standin>(On, Client, std::move(Each)));
+  }
   constexpr std::size_t MaxBody = 1 << 20;
   HttpServer Server(On,
                     {.m_Host = "127.0.0.1",
@@ -330,7 +359,11 @@
                      .m_MaxBodyBytes = MaxBody,
                      .m_MaxConnections = 256},
                     [&](const HttpRequest &Request, const Responder &Respond) {
-                      Self.handle(Request, Respond);
+                      auto Call = messages::decodeCall(Request.m_Body);
+                      auto Found = Call ? All.find(Call->m_Target) : All.end();
+                      if (Found == All.end())
+                        return Respond({.m_Status = 400, .m_Body = "{}"});
+                      Found->second->handle(Request, *Call, Respond);
                     });
   auto Listening = Server.listen();
   if (!Listening) {
@@ -338,7 +371,9 @@
     return 1;
   }
   On.run(core::Duration(20), [&] {
-    Self.turn();
+    Client.expire(On.now());
+    for (auto &[Id, Each] : All)
+      Each->turn();
     if (Stopped)
       On.stop();
   });
