Let the loop wait only as long as nothing is due

Found: the loop slept up to 25 ms after a turn that had made new work due, and the leader's duties ran at most every 10 ms; a job has four such steps. Now a turn says how long the loop may wait, 2 ms while a pass or a call is due.

--- a/packages/control/dispatcher.cpp
+++ b/packages/control/dispatcher.cpp
@@ -178,6 +178,17 @@
   return Out;
 }
 
+bool hasCallsToMake(const Dispatcher &Value) {
+  return std::any_of(
+      Value.m_Open.begin(), Value.m_Open.end(), [](const auto &Each) {
+        const OpenJob &Open = Each.second;
+        return !Open.m_Proposed &&
+               std::any_of(
+                   Open.m_Calls.begin(), Open.m_Calls.end(),
+                   [](const auto &Call) { return Call.second.m_Tries == 0; });
+      });
+}
+
 // ---- Answers ---------------------------------------------------------------
 
 static core::Duration retryDelay(const DispatchOptions &Options,
--- a/packages/control/dispatcher.h
+++ b/packages/control/dispatcher.h
@@ -133,6 +133,9 @@
 [[nodiscard]] Dispatched due(Dispatcher Before, const State &Current,
                              const DispatchOptions &Options, core::Time Now);
 
+// True when a call waits that is neither done nor under way.
+[[nodiscard]] bool hasCallsToMake(const Dispatcher &Value);
+
 // The dispatcher after a call was answered or timed out.
 [[nodiscard]] Dispatched answered(Dispatcher Before, const State &Current,
                                   const CallReply &Reply,
--- a/packages/fireflydriftctl/main.cpp
+++ b/packages/fireflydriftctl/main.cpp
@@ -158,7 +158,10 @@
     On.stop();
   });
   constexpr core::Duration Turn{100};
-  On.run(Turn, [&] { Client.expire(On.now()); });
+  On.run([&] {
+    Client.expire(On.now());
+    return Turn;
+  });
   return Code;
 }
 
--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -16,8 +16,6 @@
 static constexpr int ExitSettings = 3;
 static constexpr int ExitStart = 4;
 
-static constexpr core::Duration LongestTurn{25};
-
 // ---- Signals ---------------------------------------------------------------
 
 static volatile std::sig_atomic_t StopSignals = 0;
@@ -144,8 +142,8 @@
                             {"http", Values.m_Http.m_Host + ":" +
                                          std::to_string(Values.m_Http.m_Port)},
                             {"version", FIREFLYDRIFT_VERSION}});
-  On.run(LongestTurn, [&] {
-    Self.turn();
+  On.run([&] {
+    core::Duration Wait = Self.turn();
     if (StopSignals > 0) {
       Self.drain(On.now());
       Server.drain();
@@ -160,6 +158,7 @@
       if (Reloaded)
         Interface.setTokens(*std::move(Reloaded));
     }
+    return Wait;
   });
   logEvent(Event::Stopped, {{"vm", Values.m_Self.m_Id.text()}});
   return ExitOk;
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -237,6 +237,15 @@
   return true;
 }
 
+std::uint16_t HttpServer::port() const noexcept {
+  sockaddr_storage Address{};
+  if (!m_Impl->m_Listener)
+    return 0;
+  auto *Bound = reinterpret_cast<sockaddr *>(&Address);
+  (void)h2o_socket_getsockname(m_Impl->m_Listener, Bound);
+  return static_cast<std::uint16_t>(h2o_socket_getport(Bound));
+}
+
 std::size_t HttpServer::connections() const noexcept {
   return m_Impl->m_Connections;
 }
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -62,6 +62,8 @@
 
   // Starts to listen. Fails with Io, naming the address, when it can't.
   [[nodiscard]] core::Outcome<bool> listen();
+  // The port in use, once listening.
+  [[nodiscard]] std::uint16_t port() const noexcept;
   // Connections that are open now.
   [[nodiscard]] std::size_t connections() const noexcept;
   // From now on each connection ends with its present request.
--- a/packages/runtime/leader_host.cpp
+++ b/packages/runtime/leader_host.cpp
@@ -4,13 +4,17 @@
 
 namespace fireflydrift::runtime {
 
-// Shortest time between two rounds of the leader's duties.
-static constexpr core::Duration TurnEvery{10};
-
 LeaderHost::LeaderHost(control::LeaderOptions Options, Counters &Counts,
                        LeaderHooks Hooks)
     : m_Options(Options), m_Counters(Counts), m_Hooks(std::move(Hooks)) {}
 
+bool LeaderHost::hasWork(const control::State &State) const {
+  if (!m_Leader)
+    return false;
+  bool Passes = m_Leader->m_PassNeeded && !State.m_Indexes.m_Queued.empty();
+  return Passes || control::hasCallsToMake(m_Leader->m_Dispatcher);
+}
+
 // ---- Taking over and giving up ---------------------------------------------
 
 void LeaderHost::begin(const control::State &State, core::Time Now) {
--- a/packages/runtime/leader_host.h
+++ b/packages/runtime/leader_host.h
@@ -34,10 +34,14 @@
 
 class LeaderHost {
 public:
+  // Shortest time between two rounds of the leader's duties.
+  static constexpr core::Duration TurnEvery{2};
   LeaderHost(control::LeaderOptions Options, Counters &Counts,
              LeaderHooks Hooks);
 
   [[nodiscard]] bool isLeading() const noexcept { return m_Leader.has_value(); }
+  // True when a turn would have something to do at once.
+  [[nodiscard]] bool hasWork(const control::State &State) const;
   [[nodiscard]] std::size_t waiting() const noexcept {
     return m_AwaitApplied.size() + m_Fetches.size();
   }
--- a/packages/runtime/loop.cpp
+++ b/packages/runtime/loop.cpp
@@ -28,10 +28,11 @@
   return core::Time(std::chrono::duration_cast<core::Duration>(Wall));
 }
 
-void Loop::run(core::Duration Longest, const std::function<void()> &Turn) {
+void Loop::run(const std::function<core::Duration()> &Turn) {
+  core::Duration Wait{0};
   while (!m_Stopped) {
-    h2o_evloop_run(m_Impl->m_Loop, static_cast<std::int32_t>(Longest.count()));
-    Turn();
+    h2o_evloop_run(m_Impl->m_Loop, static_cast<std::int32_t>(Wait.count()));
+    Wait = Turn();
   }
 }
 
--- a/packages/runtime/loop.h
+++ b/packages/runtime/loop.h
@@ -26,10 +26,12 @@
   // goes back.
   [[nodiscard]] core::Time now() const;
 
-  // Runs Turn after every round of events, and at least every Longest, until
-  // stop() is called.
-  void run(core::Duration Longest, const std::function<void()> &Turn);
+  // Runs Turn after every round of events until stop() is called. Turn returns
+  // how long the loop may wait for events before the next round.
+  void run(const std::function<core::Duration()> &Turn);
   void stop() noexcept { m_Stopped = true; }
+  // Lets run() be called again after a stop.
+  void resume() noexcept { m_Stopped = false; }
 
 private:
   struct Impl;
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -380,7 +380,7 @@
       Now);
 }
 
-void Node::turn() {
+core::Duration Node::turn() {
   core::Time Now = now();
   m_Links.maintain(Now);
   m_Client.expire(Now);
@@ -393,6 +393,8 @@
     m_LeaderHost.flush(Now);
     m_Replica->flush(Now);
   }
+  bool Busy = m_Replica && m_LeaderHost.hasWork(m_Replica->state());
+  return Busy ? LeaderHost::TurnEvery : TickEvery;
 }
 
 void Node::drain(core::Time Now) {
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -33,8 +33,9 @@
   [[nodiscard]] std::string metricsText();
 
   void drain(core::Time Now);
-  // What is due; called after every round of events.
-  void turn();
+  // What is due; called after every round of events. Returns how long the
+  // loop may wait for events.
+  core::Duration turn();
 
 private:
   [[nodiscard]] bool leads(core::Time Now) const;
--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -55,12 +55,12 @@
                        .m_Token = Token},
                       [&](HttpResponse Value) { Answer = std::move(Value); });
       for (int Turns = 0; Turns < 10000 && !Answer; ++Turns) {
-        m_Node->turn();
+        (void)m_Node->turn();
         ::usleep(500);
       }
       if (!Answer || Answer->m_Status != 503 || !m_Node->isHealthy())
         break;
-      m_Node->turn();
+      (void)m_Node->turn();
       ::usleep(2000);
     }
     return Answer ? *Answer : HttpResponse{.m_Status = 0};
--- a/tests/standin/caller.cpp
+++ b/tests/standin/caller.cpp
@@ -288,10 +288,11 @@
   Loop On;
   Caller All(On, Values);
   core::Time End = On.now() + std::chrono::seconds(Values.m_TimeoutSeconds);
-  On.run(core::Duration(10), [&] {
+  On.run([&] {
     All.turn();
     if (All.isDone() || On.now() >= End)
       On.stop();
+    return core::Duration(10);
   });
   return summarise(All, readStarts(Starts), Name);
 }
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -370,12 +370,13 @@
     std::cerr << core::toString(Listening.reason()) << "\n";
     return 1;
   }
-  On.run(core::Duration(20), [&] {
+  On.run([&] {
     Client.expire(On.now());
     for (auto &[Id, Each] : All)
       Each->turn();
     if (Stopped)
       On.stop();
+    return core::Duration(Values.m_Count == 1 ? 2 : 20);
   });
   return 0;
 }
