--- a/packages/control/operation.cpp
+++ b/packages/control/operation.cpp
@@ -99,6 +99,9 @@
       Count->second >= Stored.m_Configuration.limits().m_QueuedPerWorkspace)
     return fail(core::ReasonCode::Overloaded, "workspace",
                 "its queue is full; the request was not accepted");
+  if (C.m_State.m_Indexes.m_AnswerBytes >= MaxAnswerBytes)
+    return fail(core::ReasonCode::Overloaded, "",
+                "too many answers wait to be fetched");
   return propose(AcceptJob{.m_Spec = Value.m_Spec});
 }
 
--- a/packages/control/state.cpp
+++ b/packages/control/state.cpp
@@ -31,6 +31,13 @@
   return From + Value.m_Estimates.runTime(Job.spec());
 }
 
+static std::size_t answerBytes(const job::Job &Value) {
+  std::size_t Bytes = 0;
+  for (const job::Member &Each : Value.fields().m_Members)
+    Bytes += Each.m_Answer.size();
+  return Bytes;
+}
+
 static void addToIndexes(const Tables &Stored, Indexes &Into,
                          const job::Job &Value) {
   const core::JobKey &Key = Value.key();
@@ -43,6 +50,7 @@
         std::move(Into.m_Fleet).occupied(Value, expectedEnd(Stored, Value));
   } else {
     Into.m_Finished.emplace(Value.fields().m_FinishedAt, Key);
+    Into.m_AnswerBytes += answerBytes(Value);
   }
 }
 
@@ -58,6 +66,7 @@
     From.m_Fleet = std::move(From.m_Fleet).released(Value);
   } else {
     From.m_Finished.erase({Value.fields().m_FinishedAt, Key});
+    From.m_AnswerBytes -= answerBytes(Value);
   }
 }
 
@@ -308,9 +317,10 @@
   auto &Finished = W.indexes().m_Finished;
   while (!Finished.empty() && (Finished.begin()->first + Retention <= W.now() ||
                                Finished.size() > MaxFinishedJobs)) {
-    W.tables().m_Jobs.erase(Finished.begin()->second);
-    W.tables().m_Decisions.erase(Finished.begin()->second);
-    Finished.erase(Finished.begin());
+    core::JobKey Key = Finished.begin()->second;
+    removeFromIndexes(W.indexes(), W.tables().m_Jobs.at(Key));
+    W.tables().m_Jobs.erase(Key);
+    W.tables().m_Decisions.erase(Key);
   }
   return {};
 }
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -11,6 +11,10 @@
 
 namespace fireflydrift::control {
 
+// Bytes of answers that may wait for their callers. Beyond this no further
+// request is accepted until some are fetched or expire, for an answer that
+// was promised is not dropped.
+inline constexpr std::size_t MaxAnswerBytes = std::size_t{24} << 20U;
 // Decisions that are kept to explain one job.
 inline constexpr std::size_t DecisionsPerJob = 8;
 
@@ -38,6 +42,7 @@
   // Jobs that hold capacity.
   std::set<core::JobKey> m_Placed;
   std::set<std::pair<core::Time, core::JobKey>> m_Finished;
+  std::size_t m_AnswerBytes = 0;
 
   friend bool operator==(const Indexes &, const Indexes &) = default;
 };
