--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -80,7 +80,8 @@
       Now - core::Duration(100000));
 }
 
-void run(Scene &On, const job::Job &Value, std::vector<core::TargetId> Targets,
+void run(Scene &On, const job::Job &Value,
+         const std::vector<core::TargetId> &Targets,
          core::Duration Runs = core::Duration(3600000)) {
   job::Job Placed = *job::next(Value, job::Place{.m_Targets = Targets}, Now);
   Placed = *job::next(Placed, job::Start{}, Now);
@@ -212,9 +213,11 @@
 TEST(Pass, NeverOverCommitsWithinOnePass) {
   Scene On = scene(1, 1, {team("w", 64)});
   std::vector<job::Job> Jobs;
+  Jobs.reserve(12);
   for (int I = 0; I < 12; ++I)
     Jobs.push_back(makeJob("w", std::to_string(I).c_str(), 1, 1));
   std::vector<const job::Job *> Queued;
+  Queued.reserve(Jobs.size());
   for (const job::Job &Each : Jobs)
     Queued.push_back(&Each);
   PassResult Result = runPass(On.view(), Queued, {}, Now);
--- a/tests/runtime/http_server_test.cpp
+++ b/tests/runtime/http_server_test.cpp
@@ -105,6 +105,7 @@
 
 TEST_F(HttpServerOnLoopback, KeepsToItsConnections) {
   std::vector<int> Open;
+  Open.reserve(6);
   for (int I = 0; I < 6; ++I)
     Open.push_back(connect());
   turn(10);
