--- a/benches/core_bench.cpp
+++ b/benches/core_bench.cpp
@@ -212,6 +212,43 @@
   print("state_bytes", static_cast<std::int64_t>(Encoded.size()));
 }
 
+// What one of each thing adds to a snapshot.
+static void stateBytes() {
+  auto SizeOf = [](const control::State &State) {
+    return static_cast<std::int64_t>(messages::encode(State.m_Tables).size());
+  };
+  control::State State = busyState({.m_Targets = 8, .m_Tasks = 0});
+  std::int64_t Before = SizeOf(State);
+  auto Add = [&](const std::string &Name,
+                 std::vector<control::Command> Values) {
+    State = control::apply(std::move(State),
+                           {.m_At = start(), .m_Commands = std::move(Values)})
+                .m_State;
+    print(Name, SizeOf(State) - Before);
+    Before = SizeOf(State);
+  };
+  Add("target_bytes", {control::AnnounceTarget{announcement(8)}});
+  job::JobSpec Job = spec("job", 3, 8, 1);
+  Add("queued_job_bytes", {control::AcceptJob{Job}});
+  placement::Decision Said{.m_Job = Job.m_Key, .m_Considered = 970};
+  for (int Task = 0; Task < 8; ++Task)
+    Said.m_Targets.push_back(core::TargetId("t" + std::to_string(Task)));
+  Add("placed_gang_of_8_more_bytes", {control::PlaceJob{Said}});
+  std::vector<control::Command> Finish{control::StartJob{Job.m_Key, 1}};
+  for (std::uint32_t Task = 0; Task < 8; ++Task)
+    Finish.push_back(control::FinishTask{.m_Job = Job.m_Key,
+                                         .m_Attempt = 1,
+                                         .m_Task = Task,
+                                         .m_Answer = std::string(200, 'a')});
+  Add("answered_gang_of_8_more_bytes", std::move(Finish));
+  configuration::Proposal Next = proposal();
+  Next.m_Operation = core::OperationId("more");
+  Next.m_Replaces = 1;
+  Next.m_Workspaces.push_back(Next.m_Workspaces.back());
+  Next.m_Workspaces.back().m_Id = core::WorkspaceId("w29");
+  Add("workspace_with_its_version_bytes", {control::ChangeConfiguration{Next}});
+}
+
 static void configure(const Size &Of) {
   control::State State = busyState(Of);
   placement::Witnesses Witnesses = witnessesOf(State);
@@ -320,6 +357,7 @@
       {"configure", [&] { configure(Of); }},
       {"beat", [&] { beat(Of); }},
       {"idle-bytes", [&] { idleBytes(); }},
+      {"state-bytes", [&] { stateBytes(); }},
       {"batching", [&] { batching(Of.m_Tasks); }}};
   auto Found = All.find(Name);
   if (Found == All.end()) {
--- a/packages/control/operation.cpp
+++ b/packages/control/operation.cpp
@@ -13,6 +13,9 @@
                .m_Reason = Fields.m_Reason,
                .m_Attempt = Fields.m_Attempt,
                .m_MayHaveRun = Fields.m_MayHaveRun,
+               .m_AcceptedAt = Fields.m_AcceptedAt,
+               .m_StartedAt = Fields.m_StartedAt,
+               .m_FinishedAt = Fields.m_FinishedAt,
                .m_Targets = placement::targetsOf(Value)};
   // Part of an answer is no answer.
   if (Value.phase() == job::Phase::Answered)
--- a/packages/control/operation.h
+++ b/packages/control/operation.h
@@ -76,6 +76,10 @@
   core::Reason m_Reason;
   std::uint32_t m_Attempt = 0;
   bool m_MayHaveRun = false;
+  // Zero for what has not happened yet.
+  core::Time m_AcceptedAt;
+  core::Time m_StartedAt;
+  core::Time m_FinishedAt;
   std::vector<core::TargetId> m_Targets;
   // One answer a task; complete only when the outcome is "answered".
   std::vector<std::string> m_Answers;
--- a/packages/messages/archive.h
+++ b/packages/messages/archive.h
@@ -186,8 +186,8 @@
 template <class A> void serialize(A &, Acknowledged &) {}
 template <class A> void serialize(A &Ar, Failure &V) { Ar(V.m_Why); }
 template <class A> void serialize(A &Ar, JobView &V) {
-  Ar(V.m_Job, V.m_Phase, V.m_Reason, V.m_Attempt, V.m_MayHaveRun, V.m_Targets,
-     V.m_Answers);
+  Ar(V.m_Job, V.m_Phase, V.m_Reason, V.m_Attempt, V.m_MayHaveRun,
+     V.m_AcceptedAt, V.m_StartedAt, V.m_FinishedAt, V.m_Targets, V.m_Answers);
 }
 template <class A> void serialize(A &Ar, DecisionsView &V) {
   Ar(V.m_Decisions);
--- a/packages/messages/json.cpp
+++ b/packages/messages/json.cpp
@@ -377,6 +377,9 @@
            {"id", Value.m_Job.m_Request.text()},
            {"attempt", Value.m_Attempt},
            {"may_have_run", Value.m_MayHaveRun},
+           {"accepted_at_ms", core::toMs(Value.m_AcceptedAt)},
+           {"started_at_ms", core::toMs(Value.m_StartedAt)},
+           {"finished_at_ms", core::toMs(Value.m_FinishedAt)},
            {"targets", writeIds(Value.m_Targets)}};
   if (Value.m_Phase == job::Phase::Answered)
     Out["answers"] = Value.m_Answers;
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -88,7 +88,10 @@
 core::VmId Node::leader(core::Time Now) const {
   if (leads(Now))
     return m_Settings.m_Self.m_Id;
-  if (m_Replica && !m_Replica->replica().m_Leader.empty() &&
+  // A replica whose disk failed hears nothing of later leaders.
+  bool Current =
+      m_Replica && m_Replica->diskFailure().m_Code == core::ReasonCode::None;
+  if (Current && !m_Replica->replica().m_Leader.empty() &&
       m_Replica->replica().m_Leader != m_Settings.m_Self.m_Id)
     return m_Replica->replica().m_Leader;
   core::VmId Named = m_Membership.leader(Now, m_Detection);
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -270,6 +270,24 @@
   EXPECT_EQ(acknowledge(Leader, 2, 1).m_Effects.m_Committed.size(), 2U);
 }
 
+TEST(Replica, ANewConfiguredReplicaLearnsFirst) {
+  core::VmId New("d");
+  Replica Leader = leaderOfTermTwo();
+  Leader.m_Configured.insert(New);
+  Leader = acknowledge(Leader, 2, 1).m_Replica;
+  Step Next = step(
+      Leader, Received{.m_From = New, .m_Message = Hello{.m_Incarnation = 9}},
+      Late);
+  ASSERT_EQ(Next.m_Effects.m_Append.size(), 1U);
+  const Members &All = *Next.m_Effects.m_Append[0].m_Members;
+  ASSERT_NE(All.find(New), nullptr);
+  EXPECT_FALSE(All.isVoter(New));
+  // Strangers are not taken in.
+  Step Stranger = step(
+      Leader, Received{.m_From = core::VmId("x"), .m_Message = Hello{}}, Late);
+  EXPECT_TRUE(Stranger.m_Effects.m_Append.empty());
+}
+
 TEST(Replica, CountsNoAnswerOfAnotherDataFolder) {
   EXPECT_TRUE(
       acknowledge(leaderOfTermTwo(), 2, 77).m_Effects.m_Committed.empty());
