--- a/packages/placement/pass.cpp
+++ b/packages/placement/pass.cpp
@@ -38,8 +38,8 @@
       *Placed, Now + All.m_Estimates->runTime(Value.spec()));
 }
 
-// A waiting gang of more than one task is worth holding targets for, and so is
-// one whose guarantee is being reclaimed.
+// The targets that the job keeps for itself: those being reclaimed for it, or,
+// for the first in line, those where it fits soonest.
 static std::optional<Hold> holdAfter(const View &All, const job::Job &Value,
                                      const Decision &Said, bool First,
                                      core::Time Now) {
@@ -52,7 +52,7 @@
   return holdFor(All, Value, Now);
 }
 
-// The job that has waited longest, if it has not been placed by this pass.
+// The job that has waited longest.
 static const job::Job *oldest(const std::vector<const job::Job *> &Queued) {
   auto Found = std::min_element(
       Queued.begin(), Queued.end(), [](const job::Job *A, const job::Job *B) {
@@ -85,15 +85,14 @@
   Working.m_Fleet = &Room;
   holdForOldest(Working, Queued, Options, Now);
 
-  std::map<Alike, Decision> Waiting;
+  std::set<Alike> Waiting;
   for (const job::Job *Each : Options.m_Order(Working, Queued, Now)) {
     if (Result.m_Decisions.size() >= Options.m_MaxDecisions)
       break;
     Alike Class = alikeOf(Working, *Each);
-    if (auto Same = Waiting.find(Class); Same != Waiting.end()) {
-      // Nothing that frees room happens within a pass.
+    // Nothing that frees room happens within a pass.
+    if (Waiting.contains(Class))
       continue;
-    }
     core::Reason Never = checkPlaceable(Working, *Each);
     if (Never.m_Code != core::ReasonCode::None) {
       Result.m_Refused.emplace(Each->key(), Never);
@@ -103,7 +102,7 @@
     if (Said.m_Verdict == Verdict::Placed) {
       Room = withPlaced(std::move(Room), Working, *Each, Said, Now);
     } else {
-      Waiting.emplace(Class, Said);
+      Waiting.insert(Class);
       if (Said.m_Verdict == Verdict::Reclaiming)
         if (auto Kept = holdAfter(Working, *Each, Said, false, Now))
           Working.m_Holds.push_back(*std::move(Kept));
