Make a target that was given up start anew

Cause, found by reading: a target that was silent for longer than lost_after_ms, or whose entry VM was cut off from the leader for so long, came back under the same incarnation with its old leases. Its jobs had been placed again, so it could go on with part of a gang for hours and refuse the new work for lack of room; after a cut it stayed lost for good, because its entry VM still took it for known. Ruled out: late answers (attempts already keep them out). Now such an announcement is a conflict, the target drops its leases and takes another incarnation, and the leader tells an entry VM which of the targets it hears were given up. A test shows both.

Also: the loop's short wait holds only while the leader has its lease.

--- a/packages/control/leader.cpp
+++ b/packages/control/leader.cpp
@@ -50,6 +50,22 @@
   return Silent;
 }
 
+std::vector<core::TargetId> givenUpButHeard(const Leader &Current,
+                                            const State &State,
+                                            const core::VmId &Entry) {
+  std::vector<core::TargetId> Found;
+  auto Known = Current.m_Signs.m_Entries.find(Entry);
+  if (Known == Current.m_Signs.m_Entries.end())
+    return Found;
+  for (const core::TargetId &Id : Known->second.m_Targets) {
+    auto Target = State.m_Tables.m_Targets.find(Id);
+    if (Target != State.m_Tables.m_Targets.end() &&
+        Target->second.presence() == target::Presence::Lost)
+      Found.push_back(Id);
+  }
+  return Found;
+}
+
 static void noticeSilence(LeaderStep &Out, const State &Current,
                           const LeaderOptions &Options, core::Time Now) {
   Leader &Self = Out.m_Leader;
--- a/packages/control/leader.h
+++ b/packages/control/leader.h
@@ -78,6 +78,12 @@
                               const LeaderOptions &Options, bool MayPass,
                               core::Time Now);
 
+// Targets that the entry VM hears although they were given up. They must
+// announce themselves anew before they get work.
+[[nodiscard]] std::vector<core::TargetId>
+givenUpButHeard(const Leader &Current, const State &State,
+                const core::VmId &Entry);
+
 // Targets without a sign of life, which get no new work.
 [[nodiscard]] std::set<core::TargetId>
 silentTargets(const Leader &Current, const State &State,
--- a/packages/control/operation.cpp
+++ b/packages/control/operation.cpp
@@ -185,7 +185,10 @@
   if (!Created)
     return replyNow(Failure{.m_Why = Created.reason()});
   auto Known = C.m_State.m_Tables.m_Targets.find(Created->id());
-  bool Unchanged = Known != C.m_State.m_Tables.m_Targets.end() &&
+  bool IsKnown = Known != C.m_State.m_Tables.m_Targets.end();
+  if (IsKnown && Known->second.wasGivenUp(Value.m_Announcement))
+    return replyNow(Failure{.m_Why = givenUpReason()});
+  bool Unchanged = IsKnown &&
                    Known->second.announcement() == Value.m_Announcement &&
                    Known->second.presence() == target::Presence::Active;
   if (Unchanged)
--- a/packages/control/state.cpp
+++ b/packages/control/state.cpp
@@ -81,6 +81,11 @@
   return Restored;
 }
 
+core::Reason givenUpReason() {
+  return {core::ReasonCode::Conflict, "incarnation",
+          "was given up; drop all leases and announce under a new one"};
+}
+
 const job::Job *findJob(const State &Value, const core::JobKey &Key) {
   auto Found = Value.m_Tables.m_Jobs.find(Key);
   return Found == Value.m_Tables.m_Jobs.end() ? nullptr : &Found->second;
@@ -213,6 +218,8 @@
     replaceTarget(W, *std::move(Created));
     return {};
   }
+  if (Known->second.wasGivenUp(Value.m_Announcement))
+    return givenUpReason();
   bool Restarted = Known->second.announcement().m_Incarnation !=
                    Value.m_Announcement.m_Incarnation;
   target::Target Next = Known->second.announcedAgain(Value.m_Announcement);
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -57,6 +57,9 @@
 // The state that a snapshot's tables stand for.
 [[nodiscard]] State restore(Tables Stored);
 
+// Why a target that was given up can't go on as it was.
+[[nodiscard]] core::Reason givenUpReason();
+
 // The job, or nullptr when it was never accepted or is forgotten.
 [[nodiscard]] const job::Job *findJob(const State &Value,
                                       const core::JobKey &Key);
--- a/packages/messages/archive.h
+++ b/packages/messages/archive.h
@@ -309,6 +309,7 @@
 template <class A> void serialize(A &Ar, NotLeader &V) { Ar(V.m_Id); }
 template <class A> void serialize(A &Ar, TellSigns &V) { Ar(V.m_Summary); }
 template <class A> void serialize(A &, AskSigns &) {}
+template <class A> void serialize(A &Ar, ForgetTargets &V) { Ar(V.m_Targets); }
 template <class A> void serialize(A &Ar, ReplicaMessage &V) { Ar(V.m_Message); }
 template <class A> void serialize(A &Ar, Envelope &V) {
   Ar(V.m_From, V.m_Body);
--- a/packages/messages/codec.h
+++ b/packages/messages/codec.h
@@ -45,6 +45,13 @@
 struct AskSigns {
   friend bool operator==(const AskSigns &, const AskSigns &) = default;
 };
+// The leader has given these targets up: the entry VM must have them announce
+// themselves anew.
+struct ForgetTargets {
+  std::vector<core::TargetId> m_Targets;
+  friend bool operator==(const ForgetTargets &,
+                         const ForgetTargets &) = default;
+};
 struct ReplicaMessage {
   replica::Message m_Message;
   friend bool operator==(const ReplicaMessage &,
@@ -52,7 +59,7 @@
 };
 
 using Body = std::variant<ReplicaMessage, ForwardOperation, OperationReply,
-                          NotLeader, TellSigns, AskSigns>;
+                          NotLeader, TellSigns, AskSigns, ForgetTargets>;
 
 // One message from one VM to another.
 struct Envelope {
--- a/packages/runtime/entry.h
+++ b/packages/runtime/entry.h
@@ -52,6 +52,8 @@
   void heardLeader(core::Time Now);
   void heardTarget(const core::TargetId &Id, core::Time Now);
   void targetAnnounced(const core::TargetId &Id);
+  // The leader gave the target up; it must announce itself anew.
+  void forgetTarget(const core::TargetId &Id) { m_Announced.erase(Id); }
   // The leader asks for a full summary.
   void askedForSigns() noexcept { m_FullSummary = true; }
   void drain() noexcept { m_Admission.m_Draining = true; }
--- a/packages/runtime/leader_host.cpp
+++ b/packages/runtime/leader_host.cpp
@@ -229,6 +229,14 @@
   return Next.m_NeedsFull;
 }
 
+std::vector<core::TargetId>
+LeaderHost::givenUpButHeard(const core::VmId &Entry,
+                            const control::State &State) const {
+  if (!m_Leader)
+    return {};
+  return control::givenUpButHeard(*m_Leader, State, Entry);
+}
+
 // ---- Events ----------------------------------------------------------------
 
 static Event eventFor(placement::Verdict Value) {
--- a/packages/runtime/leader_host.h
+++ b/packages/runtime/leader_host.h
@@ -59,6 +59,9 @@
   // Returns true when the entry VM must send a full summary.
   [[nodiscard]] bool told(const core::VmId &Entry,
                           const routing::SignsSummary &Value, core::Time Now);
+  // Targets of the entry VM that were given up and are heard all the same.
+  [[nodiscard]] std::vector<core::TargetId>
+  givenUpButHeard(const core::VmId &Entry, const control::State &State) const;
   void turn(const control::State &State, core::Time Now);
   // Proposes everything that was decided since the last call, as one batch.
   void flush(core::Time Now);
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -223,12 +223,22 @@
 void Node::handle(const core::VmId &From, messages::TellSigns &Value) {
   if (m_LeaderHost.told(From, Value.m_Summary, now()))
     sendTo(From, messages::AskSigns{});
+  if (!m_Replica)
+    return;
+  auto GivenUp = m_LeaderHost.givenUpButHeard(From, m_Replica->state());
+  if (!GivenUp.empty())
+    sendTo(From, messages::ForgetTargets{std::move(GivenUp)});
 }
 
 void Node::handle(const core::VmId &, messages::AskSigns &) {
   m_Entry.askedForSigns();
 }
 
+void Node::handle(const core::VmId &, messages::ForgetTargets &Value) {
+  for (const core::TargetId &Id : Value.m_Targets)
+    m_Entry.forgetTarget(Id);
+}
+
 void Node::onBeat(const membership::Beat &Value) {
   core::Time Now = now();
   m_Membership = m_Membership.heardDatagram(Value, Now);
@@ -396,7 +406,7 @@
     m_LeaderHost.flush(Now);
     m_Replica->flush(Now);
   }
-  bool Busy = m_Replica && m_LeaderHost.hasWork(m_Replica->state());
+  bool Busy = leads(Now) && m_LeaderHost.hasWork(m_Replica->state());
   return Busy ? LeaderHost::TurnEvery : TickEvery;
 }
 
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -51,6 +51,7 @@
   void handle(const core::VmId &From, messages::NotLeader &Value);
   void handle(const core::VmId &From, messages::TellSigns &Value);
   void handle(const core::VmId &From, messages::AskSigns &Value);
+  void handle(const core::VmId &From, messages::ForgetTargets &Value);
 
   void sendTo(const core::VmId &To, messages::Body Value);
   void callTarget(const control::Call &Value);
--- a/packages/target/target.cpp
+++ b/packages/target/target.cpp
@@ -38,6 +38,11 @@
   return m_Fields.m_Presence == Presence::Active && !isQuarantined(Now);
 }
 
+bool Target::wasGivenUp(const Announcement &Value) const noexcept {
+  return m_Fields.m_Presence == Presence::Lost &&
+         announcement().m_Incarnation == Value.m_Incarnation;
+}
+
 Target Target::announcedAgain(Announcement Value) const {
   TargetFields Next = m_Fields;
   if (Value.m_Incarnation != announcement().m_Incarnation)
--- a/packages/target/target.h
+++ b/packages/target/target.h
@@ -73,6 +73,11 @@
   // ended takes work again; its next failure quarantines it for longer.
   [[nodiscard]] bool takesWork(core::Time Now) const noexcept;
 
+  // True when an announcement comes from a start of the process that was given
+  // up: its work has been taken from it, so it must drop what it runs and
+  // announce itself under a new incarnation.
+  [[nodiscard]] bool wasGivenUp(const Announcement &Value) const noexcept;
+
   // The target after it announced itself again. A new incarnation forgets the
   // failures but not how often it was quarantined.
   [[nodiscard]] Target announcedAgain(Announcement Value) const;
--- a/tests/control/operation_test.cpp
+++ b/tests/control/operation_test.cpp
@@ -1,5 +1,7 @@
 #include "control/operation.h"
 
+#include "control/leader.h"
+
 #include <gtest/gtest.h>
 
 using namespace fireflydrift;
@@ -78,6 +80,34 @@
       core::ReasonCode::None);
 }
 
+// A target that was given up while it still ran its tasks must not go on with
+// a part of a gang whose other members were stopped.
+TEST(Operation, ATargetThatWasGivenUpMustStartAnew) {
+  target::Announcement Said{.m_Id = core::TargetId("t"),
+                            .m_Host = "127.0.0.1",
+                            .m_Port = 1,
+                            .m_Incarnation = 1,
+                            .m_Region = "r",
+                            .m_FailureDomain = "d",
+                            .m_Rack = "k",
+                            .m_Capacity = {8, 8, 8}};
+  State State = with(configured(),
+                     {AnnounceTarget{Said}, LoseTarget{core::TargetId("t")}});
+  Handling Same = handle(State, Announce{Said}, {}, core::timeFromMs(3));
+  EXPECT_EQ(refusalOf(Same), core::ReasonCode::Conflict);
+  Applied Race = apply(State, {.m_At = core::timeFromMs(3),
+                               .m_Commands = {AnnounceTarget{Said}}});
+  EXPECT_EQ(Race.m_Results[0].m_Code, core::ReasonCode::Conflict);
+  // An entry VM that kept hearing it learns that it must announce itself.
+  Leader Leader;
+  Leader.m_Signs.m_Entries[core::VmId("e")].m_Targets.insert(Said.m_Id);
+  EXPECT_EQ(givenUpButHeard(Leader, State, core::VmId("e")),
+            std::vector{Said.m_Id});
+  ++Said.m_Incarnation;
+  State = with(std::move(State), {AnnounceTarget{Said}}, 4);
+  EXPECT_TRUE(givenUpButHeard(Leader, State, core::VmId("e")).empty());
+}
+
 TEST(Operation, ACancelAfterTheAnswerGetsTheAnswer) {
   State State = answered(configured(), "r", 3);
   Handling Next = handle(State, Cancel{Key}, {}, core::timeFromMs(3));
--- a/tests/messages/codec_test.cpp
+++ b/tests/messages/codec_test.cpp
@@ -46,7 +46,8 @@
       OperationReply{3, control::StatusView{.m_Vms = {{}}}},
       NotLeader{5},
       TellSigns{{.m_Sequence = 2, .m_Appeared = {core::TargetId("t")}}},
-      AskSigns{}};
+      AskSigns{},
+      ForgetTargets{{core::TargetId("t")}}};
   std::vector<Envelope> All;
   All.reserve(Bodies.size());
   for (Body &Each : Bodies)
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -191,6 +191,12 @@
     send("POST", "/v1/targets", messages::encodeAnnouncement(m_Options.m_Said),
          [this](const std::optional<HttpAnswer> &Answer) {
            m_Reporting = false;
+           // Given up: what runs here is no longer anyone's.
+           if (Answer && Answer->m_Status == 409) {
+             m_Held.clear();
+             ++m_Options.m_Said.m_Incarnation;
+             return;
+           }
            if (!Answer || Answer->m_Status != 200)
              return failed();
            m_Known = true;
