--- a/packages/control/dispatcher.cpp
+++ b/packages/control/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "control/dispatcher.h"
 
+#include "core/doubling.h"
+
 #include <algorithm>
 
 namespace fireflydrift::control {
@@ -191,12 +193,10 @@
 
 // ---- Answers ---------------------------------------------------------------
 
+// The wait after so many tries, of which there is at least one.
 static core::Duration retryDelay(const DispatchOptions &Options,
                                  std::uint32_t Tries) {
-  core::Duration Delay = Options.m_FirstRetry;
-  for (std::uint32_t I = 1; I < Tries && Delay < Options.m_LongestRetry; ++I)
-    Delay *= 2;
-  return std::min(Delay, Options.m_LongestRetry);
+  return core::doubled(Options.m_FirstRetry, Options.m_LongestRetry, Tries - 1);
 }
 
 // Certain only when this leader made every start call and each was refused at
--- a/packages/routing/retry.cpp
+++ b/packages/routing/retry.cpp
@@ -1,5 +1,7 @@
 #include "routing/retry.h"
 
+#include "core/doubling.h"
+
 #include <algorithm>
 #include <random>
 
@@ -25,10 +27,10 @@
 
 core::Duration backOff(const RetryOptions &Options, std::uint64_t Id,
                        std::uint32_t Tries) {
-  core::Duration Delay = Options.m_FirstDelay;
-  for (std::uint32_t I = 1; I < Tries && Delay < Options.m_LongestDelay; ++I)
-    Delay *= 2;
-  Delay = std::min(Delay, Options.m_LongestDelay);
+  // Before the first try there is nothing to double yet.
+  std::uint32_t Doublings = Tries == 0 ? 0 : Tries - 1;
+  core::Duration Delay =
+      core::doubled(Options.m_FirstDelay, Options.m_LongestDelay, Doublings);
   std::seed_seq Seed{static_cast<std::uint32_t>(Options.m_Seed),
                      static_cast<std::uint32_t>(Id), Tries};
   std::minstd_rand Random(Seed);
--- a/packages/target/target.cpp
+++ b/packages/target/target.cpp
@@ -1,5 +1,7 @@
 #include "target/target.h"
 
+#include "core/doubling.h"
+
 namespace fireflydrift::target {
 
 static core::Reason invalid(const char *Field, const char *Rule) {
@@ -65,20 +67,15 @@
   return Target(std::move(Next));
 }
 
-static core::Duration quarantineLength(std::uint32_t Earlier) {
-  core::Duration Length = FirstQuarantine;
-  for (std::uint32_t I = 0; I < Earlier && Length < LongestQuarantine; ++I)
-    Length *= 2;
-  return std::min(Length, LongestQuarantine);
-}
-
 Target Target::afterFailure(core::Time Now) const {
   TargetFields Next = m_Fields;
   ++Next.m_ConsecutiveFailures;
   // A target on probation is quarantined again by its first failure.
   bool OnProbation = Next.m_Quarantines > 0;
   if (OnProbation || Next.m_ConsecutiveFailures >= QuarantineAfterFailures) {
-    Next.m_QuarantinedUntil = Now + quarantineLength(Next.m_Quarantines);
+    Next.m_QuarantinedUntil =
+        Now +
+        core::doubled(FirstQuarantine, LongestQuarantine, Next.m_Quarantines);
     ++Next.m_Quarantines;
     Next.m_ConsecutiveFailures = 0;
   }
