Count the time a VM stands suspended

Cause: Loop::now() stood on the steady clock, which stops while a machine is suspended. A leader that froze and woke believed its lease, and a fence or a sign of life looked fresh. Now the elapsed time is CLOCK_BOOTTIME's. The test steps the clock value; it could not be written against the old loop, which read the clock itself. Ruled out: the wall clock, which may jump.

--- a/packages/runtime/loop.cpp
+++ b/packages/runtime/loop.cpp
@@ -2,18 +2,35 @@
 
 #include "runtime/h2o_api.h"
 
+#include <algorithm>
+#include <ctime>
+
 namespace fireflydrift::runtime {
 
 struct Loop::Impl {
   h2o_evloop_t *m_Loop = nullptr;
-  std::chrono::system_clock::time_point m_WallAtStart;
-  std::chrono::steady_clock::time_point m_SteadyAtStart;
+  core::Time m_WallAtStart;
+  core::Duration m_ElapsedAtStart{0};
 };
 
+core::Duration elapsedWithSuspension() {
+  timespec Value{};
+  clock_gettime(CLOCK_BOOTTIME, &Value);
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::seconds(Value.tv_sec) +
+      std::chrono::nanoseconds(Value.tv_nsec));
+}
+
+core::Time timeSince(core::Time WallAtStart, core::Duration ElapsedAtStart,
+                     core::Duration Elapsed) noexcept {
+  return WallAtStart + std::max(Elapsed - ElapsedAtStart, core::Duration(0));
+}
+
 Loop::Loop() : m_Impl(std::make_unique<Impl>()) {
   m_Impl->m_Loop = h2o_evloop_create();
-  m_Impl->m_WallAtStart = std::chrono::system_clock::now();
-  m_Impl->m_SteadyAtStart = std::chrono::steady_clock::now();
+  m_Impl->m_WallAtStart = core::Time(std::chrono::duration_cast<core::Duration>(
+      std::chrono::system_clock::now().time_since_epoch()));
+  m_Impl->m_ElapsedAtStart = elapsedWithSuspension();
 }
 
 // The h2o loop has no safe way to be destroyed while sockets are open; it
@@ -23,9 +40,8 @@
 st_h2o_evloop_t *Loop::raw() const noexcept { return m_Impl->m_Loop; }
 
 core::Time Loop::now() const {
-  auto Since = std::chrono::steady_clock::now() - m_Impl->m_SteadyAtStart;
-  auto Wall = m_Impl->m_WallAtStart.time_since_epoch() + Since;
-  return core::Time(std::chrono::duration_cast<core::Duration>(Wall));
+  return timeSince(m_Impl->m_WallAtStart, m_Impl->m_ElapsedAtStart,
+                   elapsedWithSuspension());
 }
 
 void Loop::run(const std::function<core::Duration()> &Turn) {
--- a/packages/runtime/loop.h
+++ b/packages/runtime/loop.h
@@ -11,6 +11,16 @@
 
 namespace fireflydrift::runtime {
 
+// Time since the VM booted, the time that it stood suspended included. A lease
+// that ran out meanwhile has then run out for its holder as well.
+[[nodiscard]] core::Duration elapsedWithSuspension();
+
+// The present time of a process that started at WallAtStart, when the elapsed
+// time was ElapsedAtStart. Never goes back, whatever the wall clock does.
+[[nodiscard]] core::Time timeSince(core::Time WallAtStart,
+                                   core::Duration ElapsedAtStart,
+                                   core::Duration Elapsed) noexcept;
+
 // Owns the h2o loop and the process's clock. Everything else in the process
 // runs in callbacks of this loop.
 class Loop {
@@ -22,8 +32,8 @@
 
   // The underlying h2o loop.
   [[nodiscard]] st_h2o_evloop_t *raw() const noexcept;
-  // Milliseconds of wall-clock time at start plus monotonic time since; never
-  // goes back.
+  // Wall-clock time at start plus the time elapsed since, suspension included;
+  // never goes back.
   [[nodiscard]] core::Time now() const;
 
   // Runs Turn after every round of events until stop() is called. Turn returns
--- /dev/null
+++ b/tests/runtime/loop_test.cpp
@@ -0,0 +1,19 @@
+#include "runtime/loop.h"
+
+#include <gtest/gtest.h>
+
+using namespace fireflydrift;
+using namespace fireflydrift::runtime;
+
+TEST(Loop, TimeCountsWhatTheVmStoodSuspended) {
+  core::Time Start = core::timeFromMs(5000);
+  // The elapsed time includes a suspension of a minute.
+  core::Time Woken =
+      timeSince(Start, core::Duration(100), core::Duration(60100));
+  EXPECT_EQ(Woken - Start, core::Duration(60000));
+}
+
+TEST(Loop, TimeNeverGoesBack) {
+  core::Time Start = core::timeFromMs(5000);
+  EXPECT_EQ(timeSince(Start, core::Duration(100), core::Duration(40)), Start);
+}
