Write what one sync covers in one write; give each encoded type its checksum

Cause: records were written one by one before a sync. With one write a sync only that write can be torn.

A list at the end of the membership beat let another message pass for a beat; the type now goes into the checksum, as the existing test asks.

--- a/packages/messages/codec.cpp
+++ b/packages/messages/codec.cpp
@@ -12,12 +12,28 @@
 namespace fireflydrift::messages {
 
 // Raised whenever the encoding of any type changes.
-static constexpr std::uint8_t FormatVersion = 1;
+static constexpr std::uint8_t FormatVersion = 2;
 // A version byte and a 64-bit checksum, before the encoded value.
 static constexpr std::size_t HeaderBytes = 1 + sizeof(std::uint64_t);
 
-static std::string withHeader(const std::string &Encoded) {
-  std::uint64_t Checksum = XXH64(Encoded.data(), Encoded.size(), FormatVersion);
+// Names the type of an encoded value. It goes into the checksum, so that a
+// value is never read as one of another type.
+enum class Kind : std::uint8_t {
+  Envelope = 1,
+  Beat,
+  Batch,
+  Tables,
+  JournalRecord,
+  SnapshotFile,
+};
+
+static std::uint64_t checksum(Kind Type, std::string_view Encoded) {
+  return XXH64(Encoded.data(), Encoded.size(),
+               static_cast<std::uint64_t>(Type));
+}
+
+static std::string withHeader(Kind Type, const std::string &Encoded) {
+  std::uint64_t Checksum = checksum(Type, Encoded);
   std::string Bytes(HeaderBytes, '\0');
   Bytes[0] = static_cast<char>(FormatVersion);
   std::memcpy(Bytes.data() + 1, &Checksum, sizeof(Checksum));
@@ -30,7 +46,8 @@
           .m_Rule = Rule};
 }
 
-static core::Outcome<std::string> withoutHeader(std::string_view Bytes) {
+static core::Outcome<std::string> withoutHeader(Kind Type,
+                                                std::string_view Bytes) {
   if (Bytes.size() < HeaderBytes)
     return corrupt("too short");
   if (Bytes.size() > MaxEncodedBytes)
@@ -40,20 +57,21 @@
   std::uint64_t Checksum = 0;
   std::memcpy(&Checksum, Bytes.data() + 1, sizeof(Checksum));
   std::string_view Encoded = Bytes.substr(HeaderBytes);
-  if (XXH64(Encoded.data(), Encoded.size(), FormatVersion) != Checksum)
+  if (checksum(Type, Encoded) != Checksum)
     return corrupt("wrong checksum");
   return std::string(Encoded);
 }
 
-template <class T> static std::string encodeValue(const T &Value) {
+template <class T> static std::string encodeValue(Kind Type, const T &Value) {
   std::ostringstream Stream;
   cereal::PortableBinaryOutputArchive Archive(Stream);
   Archive(Value);
-  return withHeader(Stream.str());
+  return withHeader(Type, Stream.str());
 }
 
-template <class T> static core::Outcome<T> decodeValue(std::string_view Bytes) {
-  auto Encoded = withoutHeader(Bytes);
+template <class T>
+static core::Outcome<T> decodeValue(Kind Type, std::string_view Bytes) {
+  auto Encoded = withoutHeader(Type, Bytes);
   if (!Encoded)
     return Encoded.reason();
   try {
@@ -73,30 +91,42 @@
   }
 }
 
-std::string encode(const Envelope &Value) { return encodeValue(Value); }
-std::string encode(const membership::Beat &Value) { return encodeValue(Value); }
-std::string encode(const control::Batch &Value) { return encodeValue(Value); }
-std::string encode(const control::Tables &Value) { return encodeValue(Value); }
-std::string encode(const JournalRecord &Value) { return encodeValue(Value); }
-std::string encode(const SnapshotFile &Value) { return encodeValue(Value); }
+std::string encode(const Envelope &Value) {
+  return encodeValue(Kind::Envelope, Value);
+}
+std::string encode(const membership::Beat &Value) {
+  return encodeValue(Kind::Beat, Value);
+}
+std::string encode(const control::Batch &Value) {
+  return encodeValue(Kind::Batch, Value);
+}
+std::string encode(const control::Tables &Value) {
+  return encodeValue(Kind::Tables, Value);
+}
+std::string encode(const JournalRecord &Value) {
+  return encodeValue(Kind::JournalRecord, Value);
+}
+std::string encode(const SnapshotFile &Value) {
+  return encodeValue(Kind::SnapshotFile, Value);
+}
 
 core::Outcome<Envelope> decodeEnvelope(std::string_view Bytes) {
-  return decodeValue<Envelope>(Bytes);
+  return decodeValue<Envelope>(Kind::Envelope, Bytes);
 }
 core::Outcome<membership::Beat> decodeBeat(std::string_view Bytes) {
-  return decodeValue<membership::Beat>(Bytes);
+  return decodeValue<membership::Beat>(Kind::Beat, Bytes);
 }
 core::Outcome<control::Batch> decodeBatch(std::string_view Bytes) {
-  return decodeValue<control::Batch>(Bytes);
+  return decodeValue<control::Batch>(Kind::Batch, Bytes);
 }
 core::Outcome<control::Tables> decodeTables(std::string_view Bytes) {
-  return decodeValue<control::Tables>(Bytes);
+  return decodeValue<control::Tables>(Kind::Tables, Bytes);
 }
 core::Outcome<JournalRecord> decodeJournalRecord(std::string_view Bytes) {
-  return decodeValue<JournalRecord>(Bytes);
+  return decodeValue<JournalRecord>(Kind::JournalRecord, Bytes);
 }
 core::Outcome<SnapshotFile> decodeSnapshotFile(std::string_view Bytes) {
-  return decodeValue<SnapshotFile>(Bytes);
+  return decodeValue<SnapshotFile>(Kind::SnapshotFile, Bytes);
 }
 
 } // namespace fireflydrift::messages
--- a/packages/runtime/journal.cpp
+++ b/packages/runtime/journal.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <sstream>
 #include <unistd.h>
+#include <utility>
 
 namespace fireflydrift::runtime {
 
@@ -24,7 +25,9 @@
   std::uint64_t m_SegmentNumber = 0;
   std::uint64_t m_BytesWritten = 0;
   std::uint64_t m_Syncs = 0;
-  bool m_Dirty = false;
+  // Records that leave with the next sync, in one write. Of several writes
+  // before a sync, a power loss may keep a later one and lose an earlier one.
+  std::string m_Pending;
   bool m_Failed = false;
 };
 
@@ -38,7 +41,7 @@
     close(m_Impl->m_File);
 }
 
-bool Journal::isDirty() const noexcept { return m_Impl->m_Dirty; }
+bool Journal::isDirty() const noexcept { return !m_Impl->m_Pending.empty(); }
 std::uint64_t Journal::bytesWritten() const noexcept {
   return m_Impl->m_BytesWritten;
 }
@@ -286,28 +289,27 @@
 core::Outcome<bool> Journal::append(const messages::JournalRecord &Value) {
   if (m_Impl->m_Failed)
     return refusedBefore();
-  std::string Bytes = frame(Value);
-  if (!writeAll(m_Impl->m_File, Bytes)) {
-    m_Impl->m_Failed = true;
-    return ioReason(m_Impl->m_Folder, "write");
-  }
-  m_Impl->m_BytesWritten += Bytes.size();
-  m_Impl->m_Dirty = true;
+  m_Impl->m_Pending += frame(Value);
   return true;
 }
 
 core::Outcome<bool> Journal::sync() {
   if (m_Impl->m_Failed)
     return refusedBefore();
-  if (!m_Impl->m_Dirty)
+  if (m_Impl->m_Pending.empty())
     return true;
+  std::string Bytes = std::exchange(m_Impl->m_Pending, {});
+  if (!writeAll(m_Impl->m_File, Bytes)) {
+    m_Impl->m_Failed = true;
+    return ioReason(m_Impl->m_Folder, "write");
+  }
+  m_Impl->m_BytesWritten += Bytes.size();
   // After a failed sync the kernel may have dropped the pages: never retry.
   if (fdatasync(m_Impl->m_File) != 0) {
     m_Impl->m_Failed = true;
     return ioReason(m_Impl->m_Folder, "sync");
   }
   ++m_Impl->m_Syncs;
-  m_Impl->m_Dirty = false;
   return true;
 }
 
@@ -315,8 +317,11 @@
 Journal::writeSnapshot(const messages::SnapshotFile &Value,
                        const replica::HardState &HardState,
                        const std::vector<replica::Entry> &Tail) {
-  if (m_Impl->m_Failed)
-    return refusedBefore();
+  // What waits for the segment that is replaced must be in it first: a power
+  // loss may leave the old files in force.
+  auto Synced = sync();
+  if (!Synced)
+    return Synced;
   const fs::path &Folder = m_Impl->m_Folder;
   std::uint64_t Next = m_Impl->m_SegmentNumber + 1;
   fs::path Snapshot = Folder / numbered(SnapshotPrefix, Value.m_Point.m_Index);
@@ -345,7 +350,6 @@
   close(m_Impl->m_File);
   m_Impl->m_File = File;
   m_Impl->m_SegmentNumber = Next;
-  m_Impl->m_Dirty = false;
   ++m_Impl->m_Syncs;
   std::error_code Ignored;
   for (const auto &[Number, Path] : listFiles(Folder, SegmentPrefix))
--- a/packages/runtime/journal.h
+++ b/packages/runtime/journal.h
@@ -34,13 +34,14 @@
   Journal &operator=(Journal &&) noexcept;
   ~Journal();
 
-  // True when something was written since the last sync.
+  // True when something was appended since the last sync.
   [[nodiscard]] bool isDirty() const noexcept;
   // Bytes written to journal and snapshots since the start.
   [[nodiscard]] std::uint64_t bytesWritten() const noexcept;
   [[nodiscard]] std::uint64_t syncs() const noexcept;
 
-  // Each fails with Io once the disk has refused a write or a sync.
+  // Each fails with Io once the disk has refused a write or a sync. What was
+  // appended is written by the next sync.
   [[nodiscard]] core::Outcome<bool>
   append(const messages::JournalRecord &Value);
   [[nodiscard]] core::Outcome<bool> sync();
