Find VMs by seeds, let strangers join, retire lost voters

Settings demanded a list of all VMs. With [discovery] seeds a VM's id is its address, every VM that is heard of belongs to the system, replicas are named in the signs of life, and a blank replica presents itself to those it knows. Only the seeds of a first start found a set. A voter that was lost is retired once a newcomer has taken its place, one change at a time and only while the rest can elect and commit; a voter that merely sleeps keeps its place.

Tests: a stranger takes a lost voter's place, a sleeper keeps its, a blank one founds nothing later, open membership takes in and forgets.

--- a/packages/membership/membership.cpp
+++ b/packages/membership/membership.cpp
@@ -10,6 +10,40 @@
     m_Contacts.emplace(Address.m_Id, Contact{.m_Address = Address});
 }
 
+VmAddress addressById(const core::VmId &Vm, std::uint16_t Port) {
+  return {.m_Id = Vm, .m_Host = Vm.text(), .m_Port = Port};
+}
+
+Membership Membership::open(const VmAddress &Self,
+                            const std::vector<VmAddress> &Seeds) {
+  Membership Opened(Self.m_Id, Seeds);
+  Opened.m_OpenPort = Self.m_Port;
+  for (const VmAddress &Seed : Seeds)
+    Opened.m_Seeds.insert(Seed.m_Id);
+  Opened.m_Contacts.insert_or_assign(Self.m_Id, Contact{.m_Address = Self});
+  return Opened;
+}
+
+void Membership::meet(const core::VmId &Vm, core::Time Now) {
+  if (isOpen() && !m_Contacts.contains(Vm))
+    m_Contacts.emplace(
+        Vm, Contact{.m_Address = addressById(Vm, m_OpenPort), .m_MetAt = Now});
+}
+
+Membership Membership::withoutSilent(core::Time Now,
+                                     core::Duration After) const {
+  Membership Next = *this;
+  if (!isOpen())
+    return Next;
+  std::erase_if(Next.m_Contacts, [&](const auto &Each) {
+    const auto &[Vm, Known] = Each;
+    core::Time Last =
+        std::max({Known.m_LastDatagram, Known.m_LastFrame, Known.m_MetAt});
+    return Vm != m_Self && !m_Seeds.contains(Vm) && Now - Last >= After;
+  });
+  return Next;
+}
+
 const Contact *Membership::find(const core::VmId &Vm) const {
   auto Found = m_Contacts.find(Vm);
   return Found == m_Contacts.end() ? nullptr : &Found->second;
@@ -53,6 +87,9 @@
 
 Membership Membership::heardDatagram(const Beat &Value, core::Time Now) const {
   Membership Next = *this;
+  Next.meet(Value.m_From, Now);
+  for (const core::VmId &Vm : Value.m_Replicas)
+    Next.meet(Vm, Now);
   auto Found = Next.m_Contacts.find(Value.m_From);
   if (Found == Next.m_Contacts.end())
     return Next;
@@ -71,6 +108,7 @@
 Membership Membership::heardFrame(const core::VmId &From,
                                   core::Time Now) const {
   Membership Next = *this;
+  Next.meet(From, Now);
   auto Found = Next.m_Contacts.find(From);
   if (Found == Next.m_Contacts.end())
     return Next;
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -7,6 +7,7 @@
 #include "core/time.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
 struct Contact {
   VmAddress m_Address;
   bool m_Heard = false;
+  // When another VM named it, for a VM that settings do not list.
+  core::Time m_MetAt;
   core::Time m_LastDatagram;
   core::Time m_LastFrame;
   std::uint64_t m_ConfigurationVersion = 0;
@@ -63,16 +66,26 @@
   std::uint64_t m_Term = 0;
   // True when the sender itself leads and holds its lease.
   bool m_HoldsLease = false;
+  // The replicas that the sender knows, where VMs find each other by seeds.
+  std::vector<core::VmId> m_Replicas;
 
   friend bool operator==(const Beat &, const Beat &) = default;
   friend auto operator<=>(const Beat &, const Beat &) = default;
 };
 
+// The address of a VM that was found by seeds: there a VM's id is its host, and
+// all VMs use the same port.
+[[nodiscard]] VmAddress addressById(const core::VmId &Vm, std::uint16_t Port);
+
 // All VMs of the system as this one sees them.
 class Membership {
 public:
   Membership() = default;
   Membership(core::VmId Self, const std::vector<VmAddress> &Addresses);
+  // A membership that takes in every VM that it hears of. Seeds are known from
+  // the start and never forgotten.
+  [[nodiscard]] static Membership open(const VmAddress &Self,
+                                       const std::vector<VmAddress> &Seeds);
 
   [[nodiscard]] const core::VmId &self() const noexcept { return m_Self; }
   [[nodiscard]] const std::map<core::VmId, Contact> &contacts() const noexcept {
@@ -91,6 +104,12 @@
   [[nodiscard]] core::VmId leader(core::Time Now,
                                   const DetectionOptions &Options) const;
 
+  // True when any VM that is heard of belongs to the system.
+  [[nodiscard]] bool isOpen() const noexcept { return m_OpenPort != 0; }
+
+  // An open membership without the VMs that have been silent for so long.
+  [[nodiscard]] Membership withoutSilent(core::Time Now,
+                                         core::Duration After) const;
   // The membership after a datagram or a frame from a VM arrived.
   [[nodiscard]] Membership heardDatagram(const Beat &Value,
                                          core::Time Now) const;
@@ -100,8 +119,13 @@
   friend bool operator==(const Membership &, const Membership &) = default;
 
 private:
+  void meet(const core::VmId &Vm, core::Time Now);
+
   core::VmId m_Self;
   std::map<core::VmId, Contact> m_Contacts;
+  std::set<core::VmId> m_Seeds;
+  // Port of all VMs where the membership is open, otherwise zero.
+  std::uint16_t m_OpenPort = 0;
 };
 
 [[nodiscard]] const char *toString(Liveness Value) noexcept;
--- a/packages/messages/archive.h
+++ b/packages/messages/archive.h
@@ -237,7 +237,7 @@
 
 template <class A> void serialize(A &Ar, Beat &V) {
   Ar(V.m_From, V.m_ConfigurationVersion, V.m_Draining, V.m_Leader, V.m_Term,
-     V.m_HoldsLease);
+     V.m_HoldsLease, V.m_Replicas);
 }
 
 } // namespace fireflydrift::membership
--- a/packages/replica/replica.cpp
+++ b/packages/replica/replica.cpp
@@ -244,6 +244,32 @@
   }
 }
 
+// The last time at which a replica is known to have answered this leader.
+static core::Time lastAnswer(const Replica &Self, const core::VmId &Vm) {
+  auto Known = Self.m_Progress.find(Vm);
+  bool Answered = Known != Self.m_Progress.end() && Known->second.m_Answered;
+  return Answered
+             ? std::max(Self.m_LeadingSince, Known->second.m_AnsweredSentAt)
+             : Self.m_LeadingSince;
+}
+
+// Takes a voter out whose place another has taken. One that merely sleeps
+// keeps its place while the set has no more voters than it should.
+static void retireLostVoter(Work &W) {
+  Replica &Self = W.m_Replica;
+  Members All = members(Self);
+  std::set<core::VmId> Voters = All.voters();
+  if (!Self.m_Join.m_Open || !mayChangeMembers(Self) ||
+      Voters.size() <= Self.m_Join.m_Voters)
+    return;
+  for (const core::VmId &Vm : Voters) {
+    bool Lost = Vm != Self.m_Self &&
+                W.m_Now - lastAnswer(Self, Vm) >= Self.m_Join.m_RetireAfter;
+    if (Lost && changeMembers(W, All.without(Vm)))
+      return;
+  }
+}
+
 static void becomeLeader(Work &W) {
   Replica &Self = W.m_Replica;
   Self.m_Role = Role::Leader;
@@ -471,6 +497,8 @@
 // Every configured replica is blank and known: they are the first set.
 static void foundIfAllBlank(Work &W) {
   Replica &Self = W.m_Replica;
+  if (!Self.m_Join.m_MayFound || !Self.m_Configured.contains(Self.m_Self))
+    return;
   std::map<core::VmId, Member> First;
   First[Self.m_Self] = {.m_Incarnation = Self.m_Hard.m_Incarnation,
                         .m_Region = Self.m_Region,
@@ -503,7 +531,8 @@
                   .m_Region = Self.m_Region,
                   .m_FailureDomain = Self.m_FailureDomain,
                   .m_Members = members(Self)});
-  if (Self.m_Role != Role::Leader || !Self.m_Configured.contains(From))
+  bool MayJoin = Self.m_Join.m_Open || Self.m_Configured.contains(From);
+  if (Self.m_Role != Role::Leader || !MayJoin)
     return;
   const Members &All = members(Self);
   const Member *Known = All.find(From);
@@ -546,7 +575,7 @@
 static void tickBlank(Work &W) {
   Replica &Self = W.m_Replica;
   if (Self.m_Configured.size() <= 1)
-    return foundIfAllBlank(W);
+    foundIfAllBlank(W);
   if (W.m_Now - Self.m_LastHeartbeat < Self.m_Options.m_Heartbeat)
     return;
   Self.m_LastHeartbeat = W.m_Now;
@@ -569,6 +598,7 @@
   if (W.m_Now - Self.m_LastHeartbeat >= Self.m_Options.m_Heartbeat) {
     sendAppends(W);
     promoteLearner(W);
+    retireLostVoter(W);
   }
 }
 
@@ -615,6 +645,10 @@
     standForElection(W, Value.m_Transfer);
 }
 
+static void handle(Work &W, const Discovered &Value) {
+  W.m_Replica.m_Configured.insert(Value.m_Vms.begin(), Value.m_Vms.end());
+}
+
 static void handle(Work &W, const HandOver &) {
   Replica &Self = W.m_Replica;
   if (Self.m_Role != Role::Leader)
@@ -642,6 +676,7 @@
       .m_Region = Self.m_Region,
       .m_FailureDomain = Self.m_FailureDomain,
       .m_Configured = Self.m_Configured,
+      .m_Join = Self.m_Join,
       .m_Options = Options,
       .m_Hard = std::move(Disk.m_Hard),
       .m_Role = Role::Blank,
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -61,13 +61,32 @@
   friend auto operator<=>(const Progress &, const Progress &) = default;
 };
 
+// Who may become a replica, and who may found the set.
+struct JoinRule {
+  // False on a VM that is not part of the system's first start: a set exists
+  // already, so a blank folder there only joins.
+  bool m_MayFound = true;
+  // True where settings name seeds only: any VM that presents itself may join.
+  bool m_Open = false;
+  // Voters that an open set keeps. A voter that was lost is retired once
+  // others have taken its place.
+  std::uint32_t m_Voters = 3;
+  // Silence after which a voter beyond that number is retired.
+  core::Duration m_RetireAfter{5000};
+
+  friend bool operator==(const JoinRule &, const JoinRule &) = default;
+  friend auto operator<=>(const JoinRule &, const JoinRule &) = default;
+};
+
 // One replica.
 struct Replica {
   core::VmId m_Self;
   std::string m_Region;
   std::string m_FailureDomain;
-  // The replicas that settings name, this one included.
+  // The replicas that settings name, this one included. A blank replica
+  // presents itself to them.
   std::set<core::VmId> m_Configured;
+  JoinRule m_Join;
   ReplicaOptions m_Options;
 
   HardState m_Hard;
@@ -111,6 +130,7 @@
   std::string m_Region;
   std::string m_FailureDomain;
   std::set<core::VmId> m_Configured;
+  JoinRule m_Join;
 
   friend bool operator==(const Identity &, const Identity &) = default;
 };
@@ -146,13 +166,18 @@
   bool m_Transfer = false;
   friend bool operator==(const Campaign &, const Campaign &) = default;
 };
+// Replicas that were heard of beside the configured ones.
+struct Discovered {
+  std::set<core::VmId> m_Vms;
+  friend bool operator==(const Discovered &, const Discovered &) = default;
+};
 // Ask the most caught-up follower to take over.
 struct HandOver {
   friend bool operator==(const HandOver &, const HandOver &) = default;
 };
 
 using Input = std::variant<Tick, Received, Propose, Synced, SnapshotTaken,
-                           Campaign, HandOver>;
+                           Campaign, HandOver, Discovered>;
 
 struct Outgoing {
   core::VmId m_To;
--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -39,7 +39,8 @@
 // A connection that another VM opened.
 struct Incoming {
   Links::OnMessage *m_OnMessage = nullptr;
-  std::map<core::VmId, Outgoing> *m_Peers = nullptr;
+  // The peer of an id, or nullptr for a VM that does not belong here.
+  std::function<Outgoing *(const core::VmId &)> m_PeerOf;
   h2o_socket_t *m_Socket = nullptr;
   bool m_Writing = false;
   std::string m_InWrite;
@@ -61,10 +62,25 @@
   h2o_socket_t *m_Listener = nullptr;
   h2o_socket_t *m_Datagrams = nullptr;
 
+  // The peer, met for the first time where the links are open.
+  [[nodiscard]] Outgoing *peer(const core::VmId &Vm);
+
   static void onAccept(h2o_socket_t *Listener, const char *Error);
   static void onDatagram(h2o_socket_t *Socket, const char *Error);
 };
 
+Outgoing *Links::Impl::peer(const core::VmId &Vm) {
+  auto Found = m_Peers.find(Vm);
+  if (Found != m_Peers.end())
+    return &Found->second;
+  if (m_Options.m_OpenPort == 0 || Vm == m_Self)
+    return nullptr;
+  Outgoing &New = m_Peers[Vm];
+  New.m_Address = membership::addressById(Vm, m_Options.m_OpenPort);
+  New.m_Loop = &m_Loop;
+  return &New;
+}
+
 // ---- Outgoing connections --------------------------------------------------
 
 static void closeOutgoing(Outgoing &Peer, core::Duration RetryAfter) {
@@ -192,11 +208,11 @@
                {{"reason", core::toString(Decoded.reason())}});
       return false;
     }
-    auto Peer = From.m_Peers->find(Decoded->m_From);
-    if (Peer == From.m_Peers->end())
+    Outgoing *Peer = From.m_PeerOf(Decoded->m_From);
+    if (!Peer)
       return false;
-    Peer->second.m_Traffic.m_BytesIn += FrameHeader + Length;
-    ++Peer->second.m_Traffic.m_FramesIn;
+    Peer->m_Traffic.m_BytesIn += FrameHeader + Length;
+    ++Peer->m_Traffic.m_FramesIn;
     ++From.m_AcksDue;
     Arrived.push_back(*std::move(Decoded));
     h2o_buffer_consume(&Socket->input, FrameHeader + Length);
@@ -245,7 +261,7 @@
   m_Impl->m_OnMessage = std::move(Message);
   m_Impl->m_OnBeat = std::move(Beat);
   // A VM without others needs no address of its own.
-  if (m_Impl->m_Peers.empty())
+  if (m_Impl->m_Peers.empty() && m_Impl->m_Options.m_OpenPort == 0)
     return true;
   auto Stream = openListener(m_Impl->m_Own.m_Host, m_Impl->m_Own.m_Port);
   if (!Stream)
@@ -271,9 +287,10 @@
     return;
   while (h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener)) {
     setNoDelay(Socket);
-    auto *From = new Incoming{.m_OnMessage = &Self->m_OnMessage,
-                              .m_Peers = &Self->m_Peers,
-                              .m_Socket = Socket};
+    auto *From = new Incoming{
+        .m_OnMessage = &Self->m_OnMessage,
+        .m_PeerOf = [Self](const core::VmId &Vm) { return Self->peer(Vm); },
+        .m_Socket = Socket};
     Socket->data = From;
     h2o_socket_read_start(Socket, onFrames);
   }
@@ -293,10 +310,10 @@
         std::string_view(Buffer.data(), static_cast<std::size_t>(Count)));
     if (!Decoded)
       continue;
-    auto Peer = Self->m_Peers.find(Decoded->m_From);
-    if (Peer == Self->m_Peers.end())
+    Outgoing *Peer = Self->peer(Decoded->m_From);
+    if (!Peer)
       continue;
-    Peer->second.m_Traffic.m_BytesIn += static_cast<std::uint64_t>(Count);
+    Peer->m_Traffic.m_BytesIn += static_cast<std::uint64_t>(Count);
     Self->m_OnBeat(*std::move(Decoded));
   }
 }
@@ -309,10 +326,10 @@
 }
 
 void Links::send(const core::VmId &To, const messages::Body &Value) {
-  auto Found = m_Impl->m_Peers.find(To);
-  if (Found == m_Impl->m_Peers.end())
+  Outgoing *Known = m_Impl->peer(To);
+  if (!Known)
     return;
-  Outgoing &Peer = Found->second;
+  Outgoing &Peer = *Known;
   std::string Encoded = messages::encode(
       messages::Envelope{.m_From = m_Impl->m_Self, .m_Body = Value});
   bool TooMuch =
@@ -333,10 +350,10 @@
 }
 
 void Links::sendBeat(const core::VmId &To, const membership::Beat &Value) {
-  auto Found = m_Impl->m_Peers.find(To);
-  if (Found == m_Impl->m_Peers.end() || !m_Impl->m_Datagrams)
+  Outgoing *Known = m_Impl->peer(To);
+  if (!Known || !m_Impl->m_Datagrams)
     return;
-  Outgoing &Peer = Found->second;
+  Outgoing &Peer = *Known;
   auto Address = toAddress(Peer.m_Address.m_Host, Peer.m_Address.m_Port);
   if (!Address)
     return;
@@ -349,6 +366,14 @@
   Peer.m_Traffic.m_BytesOut += Encoded.size();
 }
 
+void Links::keep(const std::set<core::VmId> &Vms) {
+  for (auto &[Vm, Peer] : m_Impl->m_Peers)
+    if (!Vms.contains(Vm))
+      closeOutgoing(Peer, core::Duration(0));
+  std::erase_if(m_Impl->m_Peers,
+                [&](const auto &Each) { return !Vms.contains(Each.first); });
+}
+
 void Links::renew(const core::VmId &To) {
   auto Found = m_Impl->m_Peers.find(To);
   if (Found == m_Impl->m_Peers.end() || !Found->second.m_Socket)
--- a/packages/runtime/links.h
+++ b/packages/runtime/links.h
@@ -6,6 +6,8 @@
 #include "messages/codec.h"
 #include "runtime/loop.h"
 
+#include <set>
+
 namespace fireflydrift::runtime {
 
 struct LinkOptions {
@@ -14,6 +16,9 @@
   core::Duration m_SilentAfter{1500};
   core::Duration m_ConnectTimeout{1000};
   core::Duration m_ReconnectAfter{200};
+  // Port of all VMs where they find each other by seeds; zero where settings
+  // name them all, and others are ignored.
+  std::uint16_t m_OpenPort = 0;
   // Bytes that may wait for one VM; what comes on top is dropped, because
   // every message is sent again by whoever needs it.
   std::size_t m_MaxQueuedBytes = std::size_t{64} << 20U;
@@ -53,6 +58,8 @@
   // Queues a message; it is lost if the connection breaks.
   void send(const core::VmId &To, const messages::Body &Value);
   void sendBeat(const core::VmId &To, const membership::Beat &Value);
+  // Keeps links to just these VMs, this one aside.
+  void keep(const std::set<core::VmId> &Vms);
   // Closes the connection to a VM so that the next message opens another.
   void renew(const core::VmId &To);
   // Opens, gives up and reopens connections as their times are over.
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -2,11 +2,14 @@
 
 #include "runtime/events.h"
 
+#include <algorithm>
 #include <random>
 
 namespace fireflydrift::runtime {
 
 static constexpr core::Duration TickEvery{25};
+// Silence after which a VM that was found by seeds is forgotten.
+static constexpr core::Duration ForgetVmAfter{30000};
 
 static EntryOptions entryOptions(const Settings &Values) {
   return {.m_Admission = Values.m_Admission,
@@ -16,10 +19,22 @@
           .m_Lease = Values.m_Leader.m_Dispatch.m_Lease};
 }
 
+static LinkOptions linkOptions(const Settings &Values) {
+  bool Open = !Values.m_Seeds.empty();
+  return {.m_OpenPort = Open ? Values.m_Self.m_Port : std::uint16_t{0}};
+}
+
+static membership::Membership membershipOf(const Settings &Values) {
+  return Values.m_Seeds.empty()
+             ? membership::Membership(Values.m_Self.m_Id, Values.m_Vms)
+             : membership::Membership::open(Values.m_Self, Values.m_Vms);
+}
+
 Node::Node(Loop &On, Settings Values)
     : m_Loop(On), m_Settings(std::move(Values)),
-      m_Links(On, m_Settings.m_Self.m_Id, m_Settings.m_Vms, LinkOptions()),
-      m_Client(On), m_Membership(m_Settings.m_Self.m_Id, m_Settings.m_Vms),
+      m_Links(On, m_Settings.m_Self.m_Id, m_Settings.m_Vms,
+              linkOptions(m_Settings)),
+      m_Client(On), m_Membership(membershipOf(m_Settings)),
       m_Entry(entryOptions(m_Settings), m_Counters,
               [this](const core::VmId &To, messages::Body Value) {
                 sendTo(To, std::move(Value));
@@ -29,10 +44,19 @@
 // ---- Starting --------------------------------------------------------------
 
 static ReplicaHostOptions replicaOptions(const Settings &Values) {
+  bool Open = !Values.m_Seeds.empty();
   std::set<core::VmId> Replicas;
   for (const membership::VmAddress &Each : Values.m_Vms)
     if (Each.m_Replica)
       Replicas.insert(Each.m_Id);
+  // A replica that is no seed itself takes no part in founding the set.
+  auto IsSelf = [&](const std::string &Host) {
+    return Host == Values.m_Self.m_Host;
+  };
+  bool IsSeed =
+      std::any_of(Values.m_Seeds.begin(), Values.m_Seeds.end(), IsSelf);
+  if (Open && !IsSeed)
+    Replicas.erase(Values.m_Self.m_Id);
   std::random_device Random;
   std::uint64_t Incarnation =
       (static_cast<std::uint64_t>(Random()) << 32U | Random()) | 1U;
@@ -41,7 +65,10 @@
           .m_Identity = {.m_Self = Values.m_Self.m_Id,
                          .m_Region = Values.m_Self.m_Region,
                          .m_FailureDomain = Values.m_Self.m_FailureDomain,
-                         .m_Configured = std::move(Replicas)},
+                         .m_Configured = std::move(Replicas),
+                         .m_Join = {.m_MayFound = Values.m_MayFound,
+                                    .m_Open = Open,
+                                    .m_Voters = Values.m_Voters}},
           .m_Replica = Values.m_Replica,
           .m_NewIncarnation = Incarnation};
 }
@@ -107,7 +134,8 @@
 bool Node::isDrained(core::Time Now) const {
   if (!m_Entry.admission().m_Draining)
     return false;
-  bool Idle = m_Entry.held() == 0 && m_LeaderHost.waiting() == 0;
+  bool Idle = m_Entry.held() == 0 && m_LeaderHost.waiting() == 0 &&
+              Now - m_DrainingSince >= m_Settings.m_DrainAtLeast;
   return Idle || Now - m_DrainingSince >= m_Settings.m_DrainWithin;
 }
 
@@ -242,6 +270,10 @@
 void Node::onBeat(const membership::Beat &Value) {
   core::Time Now = now();
   m_Membership = m_Membership.heardDatagram(Value, Now);
+  if (m_Replica && m_Membership.isOpen() && !Value.m_Replicas.empty())
+    m_Replica->feed(replica::Discovered{.m_Vms = {Value.m_Replicas.begin(),
+                                                  Value.m_Replicas.end()}},
+                    Now);
   if (!Value.m_HoldsLease)
     return;
   m_NewestVersion = std::max(m_NewestVersion, Value.m_ConfigurationVersion);
@@ -330,6 +362,8 @@
     m_Replica->feed(replica::Tick{}, Now);
   }
   m_Replica->flush(Now);
+  // The disk may have held the loop for long; a lease may have run out.
+  Now = now();
   followRole(Now);
   if (!leads(Now))
     return;
@@ -350,6 +384,26 @@
   }
 }
 
+void Node::forgetSilentVms(core::Time Now) {
+  if (!m_Membership.isOpen())
+    return;
+  m_Membership = m_Membership.withoutSilent(Now, ForgetVmAfter);
+  std::set<core::VmId> Known;
+  for (const auto &[Vm, Contact] : m_Membership.contacts())
+    Known.insert(Vm);
+  m_Links.keep(Known);
+}
+
+std::vector<core::VmId> Node::knownReplicas() const {
+  std::vector<core::VmId> Known;
+  if (!m_Replica || !m_Membership.isOpen())
+    return Known;
+  const replica::Replica &Self = m_Replica->replica();
+  for (const auto &[Vm, Value] : Self.m_Log.membersAt(Self.m_Commit).all())
+    Known.push_back(Vm);
+  return Known;
+}
+
 void Node::turnBeats(core::Time Now) {
   bool Leads = leads(Now);
   if (Leads)
@@ -358,13 +412,15 @@
     return;
   m_BeatAt = Now;
   logLiveness(Now);
+  forgetSilentVms(Now);
   membership::Beat Value{
       .m_From = m_Settings.m_Self.m_Id,
       .m_ConfigurationVersion = configurationVersion(),
       .m_Draining = m_Entry.admission().m_Draining,
       .m_Leader = m_Replica ? m_Replica->replica().m_Leader : core::VmId(),
       .m_Term = m_Replica ? m_Replica->replica().m_Hard.m_Term : 0,
-      .m_HoldsLease = Leads};
+      .m_HoldsLease = Leads,
+      .m_Replicas = knownReplicas()};
   for (const auto &[Vm, Known] : m_Membership.contacts()) {
     if (Vm == m_Settings.m_Self.m_Id)
       continue;
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -62,6 +62,8 @@
   void turnBeats(core::Time Now);
   void refreshConfiguration(core::Time Now);
   void logLiveness(core::Time Now);
+  void forgetSilentVms(core::Time Now);
+  [[nodiscard]] std::vector<core::VmId> knownReplicas() const;
 
   Loop &m_Loop;
   Settings m_Settings;
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -10,6 +10,8 @@
 
 namespace fireflydrift::runtime {
 
+static constexpr std::int64_t MostPorts = 65535;
+
 // ---- Reading values --------------------------------------------------------
 
 // Sets one part of the settings from text; returns the rule that it broke, or
@@ -55,6 +57,53 @@
   };
 }
 
+static Apply boolean(bool &(*Part)(Settings &)) {
+  return [=](Settings &Into, const std::string &Text) {
+    Part(Into) = Text == "true";
+    return Text == "true" || Text == "false"
+               ? std::string()
+               : std::string("must be true or false");
+  };
+}
+
+// "host:port"
+static std::string readHostPort(const std::string &Text, std::string &Host,
+                                std::uint16_t &Port) {
+  auto Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return "must be host:port";
+  Host = Text.substr(0, Colon);
+  std::string Broken = readNumber(Text.substr(Colon + 1), 1, MostPorts, Port);
+  if (!Broken.empty())
+    return "port " + Broken;
+  return toAddress(Host, Port) ? std::string()
+                               : std::string("host must be a numeric IPv4 "
+                                             "address");
+}
+
+// An empty value leaves the address unused.
+static Apply listenAddress(ListenAddress &(*Part)(Settings &)) {
+  return [=](Settings &Into, const std::string &Text) {
+    if (Text.empty())
+      return std::string();
+    return readHostPort(Text, Part(Into).m_Host, Part(Into).m_Port);
+  };
+}
+
+// Hosts of seeds, parted by commas. A port that stands with one belongs to
+// another interface of that VM and is left out.
+static std::string readSeeds(Settings &Into, const std::string &Text) {
+  std::istringstream Stream(Text);
+  std::string Each;
+  while (std::getline(Stream, Each, ',')) {
+    std::string Host = Each.substr(0, Each.rfind(':'));
+    if (!toAddress(Host, 0))
+      return "must be numeric IPv4 addresses parted by commas";
+    Into.m_Seeds.push_back(std::move(Host));
+  }
+  return Into.m_Seeds.empty() ? "must name at least one VM" : "";
+}
+
 static Apply address(std::string &(*Part)(Settings &)) {
   return [=](Settings &Into, const std::string &Text) {
     Part(Into) = Text;
@@ -73,7 +122,6 @@
 };
 
 constexpr std::int64_t Minute = 60000;
-constexpr std::int64_t MostPorts = 65535;
 
 } // namespace
 
@@ -93,6 +141,32 @@
        duration(PART(m_BeatEvery), 50, 5000)},
       {{"vm", "drain_within_ms", "Longest graceful shutdown"},
        duration(PART(m_DrainWithin), 100, 10 * Minute)},
+      {{"vm", "drain_at_least_ms",
+        "Shortest graceful shutdown; callers turn away meanwhile"},
+       duration(PART(m_DrainAtLeast), 0, 10 * Minute)},
+      {{"vm", "region", "Region of this VM, with [discovery]"},
+       text(PART(m_Self.m_Region))},
+      {{"vm", "failure_domain", "Failure domain of this VM, with [discovery]"},
+       text(PART(m_Self.m_FailureDomain))},
+      {{"discovery", "seeds",
+        "VMs that know the others, instead of [vms]; ids are then hosts"},
+       readSeeds},
+      {{"discovery", "link_port",
+        "Port between VMs, the same on all, with seeds"},
+       number<std::uint16_t>(PART(m_Self.m_Port), 1, MostPorts)},
+      {{"discovery", "first_start",
+        "True while the system starts for the first time; false later"},
+       boolean(PART(m_MayFound))},
+      {{"discovery", "voters",
+        "Voting replicas to keep; further ones replace lost ones"},
+       number<std::uint32_t>(PART(m_Voters), 1, 9)},
+      {{"listen", "callers", "Address for an environment's own callers"},
+       listenAddress(PART(m_Listen.m_Callers))},
+      {{"listen", "readiness", "Address for an environment's readiness checks"},
+       listenAddress(PART(m_Listen.m_Readiness))},
+      {{"listen", "control",
+        "Address for an environment's targets and operators"},
+       listenAddress(PART(m_Listen.m_Control))},
       {{"http", "host", "Address for callers, targets and operators"},
        address(PART(m_Http.m_Host))},
       {{"http", "port", "Port for callers, targets and operators"},
@@ -279,6 +353,30 @@
   return Into;
 }
 
+// Lists this VM and the seeds, whose ids are their hosts.
+static void useSeeds(Reading &In) {
+  Settings &Value = In.m_Settings;
+  if (!Value.m_Vms.empty())
+    In.fail("discovery.seeds", In.lineOf("discovery.seeds"),
+            "[vms] and seeds exclude each other");
+  membership::VmAddress &Self = Value.m_Self;
+  if (!toAddress(Self.m_Id.text(), Self.m_Port) || Self.m_Port == 0)
+    In.fail("vm.id", In.lineOf("vm.id"),
+            "must be this VM's numeric IPv4 address where seeds are used, and "
+            "discovery.link_port must be set");
+  Self.m_Host = Self.m_Id.text();
+  Self.m_Replica = !Value.m_DataFolder.empty();
+  Value.m_Vms.push_back(Self);
+  for (const std::string &Host : Value.m_Seeds) {
+    if (Host == Self.m_Host)
+      continue;
+    membership::VmAddress Seed =
+        membership::addressById(core::VmId(Host), Self.m_Port);
+    Seed.m_Replica = true;
+    Value.m_Vms.push_back(std::move(Seed));
+  }
+}
+
 // Rules that concern several keys.
 static void checkTogether(Reading &In) {
   Settings &Value = In.m_Settings;
@@ -286,6 +384,8 @@
     In.fail("vm.id", In.m_Line, "is required");
   if (Value.m_Http.m_Host.empty() || Value.m_Http.m_Port == 0)
     In.fail("http.port", In.lineOf("http.port"), "host and port are required");
+  if (!Value.m_Seeds.empty())
+    useSeeds(In);
   bool Found = false;
   for (const membership::VmAddress &Each : Value.m_Vms) {
     if (Each.m_Id != Value.m_Self.m_Id)
--- a/packages/runtime/settings.h
+++ b/packages/runtime/settings.h
@@ -10,10 +10,36 @@
 
 namespace fireflydrift::runtime {
 
+// A host and port to listen on; the port is zero where nothing is served.
+struct ListenAddress {
+  std::string m_Host;
+  std::uint16_t m_Port = 0;
+
+  friend bool operator==(const ListenAddress &,
+                         const ListenAddress &) = default;
+};
+
+// Where a VM serves an environment that has an interface of its own, beside
+// the product's own interface.
+struct ListenAddresses {
+  ListenAddress m_Callers;
+  ListenAddress m_Readiness;
+  ListenAddress m_Control;
+
+  friend bool operator==(const ListenAddresses &,
+                         const ListenAddresses &) = default;
+};
+
 struct Settings {
   // This VM, and all VMs of the system with it.
   membership::VmAddress m_Self;
   std::vector<membership::VmAddress> m_Vms;
+  // Hosts of VMs that know the others, where settings do not list all VMs.
+  std::vector<std::string> m_Seeds;
+  // False once the system has been started: then a blank folder only joins.
+  bool m_MayFound = true;
+  std::uint32_t m_Voters = 3;
+  ListenAddresses m_Listen;
   // Empty on a VM without a disk of its own.
   std::string m_DataFolder;
   std::uint64_t m_SnapshotEvery = 5000;
@@ -24,6 +50,9 @@
   core::Duration m_BeatEvery{500};
   core::Duration m_OperationDeadline{10000};
   core::Duration m_DrainWithin{20000};
+  // Time for which a draining VM goes on serving even when it holds nothing,
+  // so that callers find out before it ends.
+  core::Duration m_DrainAtLeast{0};
   std::string m_OperatorTokenFile;
   std::string m_WorkspaceTokensFile;
   std::string m_LogLevel = "info";
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -56,3 +56,34 @@
   Membership Value = two();
   EXPECT_EQ(Value.heardDatagram({.m_From = core::VmId("x")}, at(1)), Value);
 }
+
+static VmAddress address(const char *Host) {
+  constexpr std::uint16_t Port = 7000;
+  return addressById(core::VmId(Host), Port);
+}
+
+static Membership openOne() {
+  return Membership::open(address("10.0.0.1"), {address("10.0.0.2")});
+}
+
+TEST(Membership, AnOpenOneTakesInWhomItHearsAndWhomTheyName) {
+  core::VmId Stranger("10.0.0.3");
+  core::VmId Named("10.0.0.4");
+  Membership Value = openOne().heardDatagram(
+      {.m_From = Stranger, .m_Replicas = {Named}}, at(1));
+  ASSERT_NE(Value.find(Stranger), nullptr);
+  ASSERT_NE(Value.find(Named), nullptr);
+  EXPECT_EQ(Value.find(Named)->m_Address, address("10.0.0.4"));
+  EXPECT_EQ(Value.liveness(Named, at(1), {}), Liveness::Unheard);
+}
+
+TEST(Membership, AnOpenOneForgetsSilentVmsButNoSeed) {
+  core::VmId Stranger("10.0.0.3");
+  Membership Value = openOne().heardFrame(Stranger, at(1));
+  core::Duration After(1000);
+  EXPECT_NE(Value.withoutSilent(at(500), After).find(Stranger), nullptr);
+  Value = Value.withoutSilent(at(2000), After);
+  EXPECT_EQ(Value.find(Stranger), nullptr);
+  EXPECT_NE(Value.find(core::VmId("10.0.0.2")), nullptr);
+  EXPECT_NE(Value.find(core::VmId("10.0.0.1")), nullptr);
+}
--- a/tests/replica/cluster.h
+++ b/tests/replica/cluster.h
@@ -47,6 +47,7 @@
 struct ClusterOptions {
   std::uint32_t m_Replicas = 3;
   ReplicaOptions m_Replica;
+  JoinRule m_Join;
 };
 
 // What must hold whatever happens is checked after every step.
@@ -126,11 +127,13 @@
   void restart(const core::VmId &Id) {
     ReplicaOptions Options = m_Options.m_Replica;
     Options.m_Seed += std::hash<std::string>()(Id.text());
-    m_Up[Id] = start({.m_Self = Id,
-                      .m_Region = "r",
-                      .m_FailureDomain = "d" + Id.text(),
-                      .m_Configured = m_Ids},
-                     Options, m_Disks[Id].m_Synced, m_Now);
+    m_Up[Id] =
+        start({.m_Self = Id,
+               .m_Region = "r",
+               .m_FailureDomain = "d" + Id.text(),
+               .m_Configured = m_Configured.empty() ? m_Ids : m_Configured,
+               .m_Join = m_Options.m_Join},
+              Options, m_Disks[Id].m_Synced, m_Now);
   }
   // The machine is replaced: the same address, nothing on the disk.
   void replaceDisk(const core::VmId &Id) {
@@ -140,6 +143,13 @@
     restart(Id);
   }
 
+  // A machine at an address that no other was told of; it knows the others.
+  void addStranger(const core::VmId &Id) {
+    m_Configured = m_Ids;
+    m_Ids.insert(Id);
+    replaceDisk(Id);
+  }
+
   void propose(const core::VmId &Id) {
     step(Id, Propose{.m_Commands = "c" + std::to_string(++m_Proposed)}, false);
   }
@@ -232,6 +242,8 @@
 
   ClusterOptions m_Options;
   std::set<core::VmId> m_Ids;
+  // What settings name, once others have come.
+  std::set<core::VmId> m_Configured;
   std::map<core::VmId, Replica> m_Up;
   std::map<core::VmId, Disk> m_Disks;
   std::set<std::pair<core::VmId, core::VmId>> m_Cut;
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -288,6 +288,43 @@
   EXPECT_TRUE(Stranger.m_Effects.m_Append.empty());
 }
 
+TEST(Replica, AStrangerTakesThePlaceOfALostVoter) {
+  Cluster All({.m_Join = {.m_MayFound = false, .m_Open = true}});
+  All.run(core::Duration(5000));
+  core::VmId Lost = All.leader()->m_Self;
+  All.crash(Lost);
+  core::VmId Stranger("x");
+  All.addStranger(Stranger);
+  All.run(core::Duration(20000));
+  ASSERT_NE(All.leader(), nullptr);
+  const Replica &Leader = *All.leader();
+  const Members &Now = Leader.m_Log.membersAt(Leader.m_Commit);
+  EXPECT_TRUE(Now.isVoter(Stranger));
+  EXPECT_EQ(Now.find(Lost), nullptr);
+  EXPECT_EQ(Now.voters().size(), 3U);
+}
+
+TEST(Replica, ASleepingVoterKeepsItsPlaceWhileNoneHasTakenIt) {
+  Cluster All({.m_Join = {.m_MayFound = false, .m_Open = true}});
+  All.run(core::Duration(5000));
+  core::VmId Asleep = All.leader()->m_Self;
+  All.crash(Asleep);
+  All.run(core::Duration(20000));
+  ASSERT_NE(All.leader(), nullptr);
+  const Replica &Leader = *All.leader();
+  EXPECT_TRUE(Leader.m_Log.membersAt(Leader.m_Commit).isVoter(Asleep));
+}
+
+TEST(Replica, ABlankOneFoundsNothingAfterTheFirstStart) {
+  core::VmId Self("a");
+  Replica Blank = start({.m_Self = Self,
+                         .m_Configured = {Self},
+                         .m_Join = {.m_MayFound = false, .m_Open = true}},
+                        {}, {}, core::timeFromMs(1));
+  Step Next = step(std::move(Blank), Tick{}, core::timeFromMs(60000));
+  EXPECT_EQ(Next.m_Replica.m_Role, Role::Blank);
+}
+
 TEST(Replica, CountsNoAnswerOfAnotherDataFolder) {
   EXPECT_TRUE(
       acknowledge(leaderOfTermTwo(), 2, 77).m_Effects.m_Committed.empty());
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -72,3 +72,32 @@
     EXPECT_NE(Page.str().find(Row), std::string::npos) << Row;
   }
 }
+
+static const std::string Seeded = "[vm]\n"
+                                  "id = 10.0.0.2\n"
+                                  "region = r1\n"
+                                  "failure_domain = d1\n"
+                                  "[http]\n"
+                                  "host = 10.0.0.2\n"
+                                  "port = 7600\n"
+                                  "[discovery]\n"
+                                  "seeds = 10.0.0.1:8526,10.0.0.2:8526\n"
+                                  "link_port = 7000\n"
+                                  "first_start = false\n";
+
+TEST(Settings, SeedsStandInPlaceOfAListOfVms) {
+  auto Values = parseSettings(Seeded, "x.ini");
+  ASSERT_TRUE(Values) << core::toString(Values.reason());
+  ASSERT_EQ(Values->m_Vms.size(), 2U);
+  EXPECT_EQ(Values->m_Self.m_Host, "10.0.0.2");
+  EXPECT_EQ(Values->m_Vms[1].m_Host, "10.0.0.1");
+  EXPECT_EQ(Values->m_Vms[1].m_Port, 7000);
+  EXPECT_FALSE(Values->m_MayFound);
+}
+
+TEST(Settings, SeedsAndAListExcludeEachOther) {
+  auto Values = parseSettings(
+      Seeded + "[vms]\n10.0.0.2 = 10.0.0.2:7000 r1 d1 replica\n", "x.ini");
+  ASSERT_FALSE(Values);
+  EXPECT_NE(core::toString(Values.reason()).find("exclude"), std::string::npos);
+}
