--- /dev/null
+++ b/packages/assignment/fit.h
@@ -0,0 +1,46 @@
+// How the tasks of one step are laid over the room that there is.
+#ifndef FIREFLYDRIFT_ASSIGNMENT_FIT_H
+#define FIREFLYDRIFT_ASSIGNMENT_FIT_H
+
+#include "assignment/view.h"
+
+namespace fireflydrift::assignment {
+
+// Capacity that counts as available in a room.
+using Available = core::Capacity (*)(const Room &);
+
+[[nodiscard]] core::Capacity freeNow(const Room &Value);
+// With what comes back soon.
+[[nodiscard]] core::Capacity freeSoon(const Room &Value);
+// With nothing on it at all.
+[[nodiscard]] core::Capacity freeWhenEmpty(const Room &Value);
+
+// A room that may be used, by its place in the list of all.
+using RoomIndexes = std::vector<std::size_t>;
+
+// Rooms that the step's tasks may run in, whatever is free there.
+[[nodiscard]] RoomIndexes suitableRooms(const std::vector<Room> &All,
+                                        const Demand &For);
+
+// The room for each task of a gang, or nothing when the gang does not fit. A
+// gang that asks for one rack gets the tightest rack that holds it.
+[[nodiscard]] RoomIndexes fitGang(const std::vector<Room> &All,
+                                  const RoomIndexes &Suitable,
+                                  const Demand &For, Available Capacity);
+
+// The room for each of the first waiting tasks, as many as fit.
+[[nodiscard]] RoomIndexes fitSingles(const std::vector<Room> &All,
+                                     const RoomIndexes &Suitable,
+                                     const Demand &For, Available Capacity);
+
+// True when the gang wants one rack and some rack is large enough.
+[[nodiscard]] bool needsOneRack(const std::vector<Room> &All,
+                                const RoomIndexes &Suitable, const Demand &For);
+
+// How many tasks of the step fit in the room with so much available.
+[[nodiscard]] std::uint32_t countFits(const core::Capacity &Available,
+                                      const workflow::StepSpec &Step) noexcept;
+
+} // namespace fireflydrift::assignment
+
+#endif // FIREFLYDRIFT_ASSIGNMENT_FIT_H
--- /dev/null
+++ b/packages/assignment/forward_declarations.h
@@ -0,0 +1,13 @@
+// Names of the assignment types.
+#ifndef FIREFLYDRIFT_ASSIGNMENT_FORWARD_DECLARATIONS_H
+#define FIREFLYDRIFT_ASSIGNMENT_FORWARD_DECLARATIONS_H
+
+namespace fireflydrift::assignment {
+
+struct Demand;
+struct PassResult;
+struct Room;
+
+} // namespace fireflydrift::assignment
+
+#endif // FIREFLYDRIFT_ASSIGNMENT_FORWARD_DECLARATIONS_H
--- /dev/null
+++ b/packages/assignment/pass.cpp
@@ -0,0 +1,164 @@
+#include "assignment/pass.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace fireflydrift::assignment {
+
+namespace {
+
+// The working state of one pass.
+struct Work {
+  std::vector<Room> m_Rooms;
+  const PassOptions &m_Options;
+  core::Time m_Now;
+  std::vector<Hold> m_Holds;
+  std::vector<Victim> m_Victims;
+  bool m_VictimsKnown = false;
+  std::size_t m_Displacing = 0;
+  PassResult m_Out;
+};
+
+} // namespace
+
+// Rooms that no hold keeps from a task that runs so long.
+static RoomIndexes withoutHeld(const Work &W, const RoomIndexes &Suitable,
+                               const Demand &For) {
+  RoomIndexes Open;
+  for (std::size_t Index : Suitable) {
+    bool Held =
+        std::any_of(W.m_Holds.begin(), W.m_Holds.end(), [&](const Hold &Each) {
+          return Each.m_Rooms.contains(Index) &&
+                 W.m_Now + For.m_RunTime > Each.m_Until;
+        });
+    if (!Held)
+      Open.push_back(Index);
+  }
+  return Open;
+}
+
+static void takeRoom(Work &W, const Demand &For, const RoomIndexes &Chosen) {
+  for (std::size_t Index : Chosen)
+    W.m_Rooms[Index].m_Free = W.m_Rooms[Index].m_Free - For.spec().m_PerTask;
+}
+
+static workflow::Assign::Place place(const Work &W, std::uint32_t Task,
+                                     std::size_t Room) {
+  return {.m_Index = Task, .m_Where = W.m_Rooms[Room].m_Life};
+}
+
+static void assignGang(Work &W, const Demand &For, const RoomIndexes &Chosen) {
+  workflow::Assign Value{.m_Step = For.m_Step,
+                         .m_Run = For.m_Workflow->nextRun(For.m_Step, 0)};
+  for (std::uint32_t I = 0; I < Chosen.size(); ++I)
+    Value.m_Places.push_back(place(W, I, Chosen[I]));
+  W.m_Out.m_Assignments.push_back(
+      {.m_Workflow = For.m_Workflow->id(), .m_Assign = std::move(Value)});
+  takeRoom(W, For, Chosen);
+}
+
+// Tasks that run one by one have run numbers of their own, so each number
+// makes an assignment.
+static void assignSingles(Work &W, const Demand &For,
+                          const RoomIndexes &Chosen) {
+  std::map<std::uint32_t, workflow::Assign> ByRun;
+  for (std::size_t I = 0; I < Chosen.size(); ++I) {
+    std::uint32_t Task = For.m_Waiting[I];
+    std::uint32_t Run = For.m_Workflow->nextRun(For.m_Step, Task);
+    workflow::Assign &Value = ByRun[Run];
+    Value.m_Step = For.m_Step;
+    Value.m_Run = Run;
+    Value.m_Places.push_back(place(W, Task, Chosen[I]));
+  }
+  for (auto &[Run, Value] : ByRun)
+    W.m_Out.m_Assignments.push_back(
+        {.m_Workflow = For.m_Workflow->id(), .m_Assign = std::move(Value)});
+  takeRoom(W, For, Chosen);
+}
+
+// Keeps room for a demand that must wait for running tasks to end.
+static void hold(Work &W, const Demand &For, const RoomIndexes &Suitable) {
+  if (W.m_Holds.size() >= W.m_Options.m_Holds)
+    return;
+  if (auto Kept = holdFor(W.m_Rooms, Suitable, For, W.m_Now))
+    W.m_Holds.push_back(*std::move(Kept));
+}
+
+// Stops other work for an urgent demand, unless room comes back anyway.
+static void displace(Work &W, const Demand &For, const RoomIndexes &Suitable) {
+  RoomIndexes Soon = For.spec().m_Gang
+                         ? fitGang(W.m_Rooms, Suitable, For, freeSoon)
+                         : fitSingles(W.m_Rooms, Suitable, For, freeSoon);
+  if (Soon.size() == For.m_Waiting.size()) {
+    // What comes back is spoken for: the next demand must not count on it.
+    for (std::size_t Index : Soon)
+      W.m_Rooms[Index].m_Coming =
+          W.m_Rooms[Index].m_Coming - For.spec().m_PerTask;
+    return;
+  }
+  if (W.m_Displacing >= W.m_Options.m_MaxDisplacing)
+    return;
+  if (!std::exchange(W.m_VictimsKnown, true))
+    W.m_Victims = victimsIn(W.m_Rooms);
+  std::vector<std::size_t> Chosen =
+      chooseVictims(W.m_Rooms, W.m_Victims, Suitable, For);
+  if (Chosen.empty())
+    return;
+  ++W.m_Displacing;
+  for (std::size_t Each : Chosen) {
+    const Victim &Value = W.m_Victims[Each];
+    for (const workflow::TaskKey &Task : Value.m_Tasks)
+      W.m_Out.m_Displacements.push_back({.m_Task = Task,
+                                         .m_Run = Value.m_Run,
+                                         .m_For = For.m_Workflow->id()});
+    for (const auto &[Room, Capacity] : Value.m_Occupies)
+      W.m_Rooms[Room].m_Coming = W.m_Rooms[Room].m_Coming + Capacity;
+  }
+  std::sort(Chosen.begin(), Chosen.end(), std::greater<>());
+  for (std::size_t Each : Chosen)
+    W.m_Victims.erase(W.m_Victims.begin() + static_cast<std::ptrdiff_t>(Each));
+  RoomIndexes Taken = For.spec().m_Gang
+                          ? fitGang(W.m_Rooms, Suitable, For, freeSoon)
+                          : fitSingles(W.m_Rooms, Suitable, For, freeSoon);
+  for (std::size_t Index : Taken)
+    W.m_Rooms[Index].m_Coming =
+        W.m_Rooms[Index].m_Coming - For.spec().m_PerTask;
+}
+
+static void decide(Work &W, Demand For) {
+  RoomIndexes Suitable = suitableRooms(W.m_Rooms, For);
+  RoomIndexes Open = withoutHeld(W, Suitable, For);
+  bool Gang = For.spec().m_Gang;
+  RoomIndexes Chosen = Gang ? fitGang(W.m_Rooms, Open, For, freeNow)
+                            : fitSingles(W.m_Rooms, Open, For, freeNow);
+  if (!Chosen.empty()) {
+    if (Gang)
+      assignGang(W, For, Chosen);
+    else
+      assignSingles(W, For, Chosen);
+  }
+  if (Chosen.size() == For.m_Waiting.size())
+    return;
+  ++W.m_Out.m_Waiting;
+  For.m_Waiting.erase(For.m_Waiting.begin(),
+                      For.m_Waiting.begin() +
+                          static_cast<std::ptrdiff_t>(Chosen.size()));
+  if (For.terms().m_Priority == 0 && W.m_Options.m_Displaces)
+    displace(W, For, Suitable);
+  else if (Gang)
+    hold(W, For, Suitable);
+}
+
+PassResult runPass(std::vector<Room> Rooms, std::vector<Demand> Demands,
+                   const PassOptions &Options, core::Time Now) {
+  Work W{.m_Rooms = std::move(Rooms), .m_Options = Options, .m_Now = Now};
+  Options.m_Order(Demands, Now);
+  if (Demands.size() > Options.m_MaxDemands)
+    Demands.resize(Options.m_MaxDemands);
+  for (Demand &Each : Demands)
+    decide(W, std::move(Each));
+  return std::move(W.m_Out);
+}
+
+} // namespace fireflydrift::assignment
--- /dev/null
+++ b/packages/assignment/view.h
@@ -0,0 +1,70 @@
+// What an assignment pass looks at: room on targets, and steps that ask for it.
+#ifndef FIREFLYDRIFT_ASSIGNMENT_VIEW_H
+#define FIREFLYDRIFT_ASSIGNMENT_VIEW_H
+
+#include "workflow/workflow.h"
+
+#include <set>
+
+namespace fireflydrift::assignment {
+
+// One assigned task on a target.
+struct Occupant {
+  workflow::TaskKey m_Task;
+  std::uint32_t m_Run = 0;
+  core::Capacity m_Capacity;
+  std::uint32_t m_Priority = 0;
+  core::Time m_ExpectedEnd;
+  // Run time that would be lost if the task were stopped now.
+  core::Duration m_Unsaved{0};
+  // True for a member of a gang, which is stopped as a whole.
+  bool m_Gang = false;
+  // False for tasks that are never displaced.
+  bool m_Displaceable = true;
+
+  friend bool operator==(const Occupant &, const Occupant &) = default;
+};
+
+// A target that may get tasks.
+struct Room {
+  workflow::TargetLife m_Life;
+  std::string m_Pool;
+  std::string m_Rack;
+  std::vector<std::string> m_Labels;
+  core::Capacity m_Total;
+  core::Capacity m_Free;
+  // What tasks that are being stopped will give back soon.
+  core::Capacity m_Coming;
+  // Tasks fail here more often than elsewhere; it is used last.
+  bool m_Suspect = false;
+  std::vector<Occupant> m_Occupants;
+
+  friend bool operator==(const Room &, const Room &) = default;
+};
+
+// Tasks of one step that wait for room.
+struct Demand {
+  const workflow::Workflow *m_Workflow = nullptr;
+  std::uint32_t m_Step = 0;
+  std::vector<std::uint32_t> m_Waiting;
+  // Estimated run time of one task.
+  core::Duration m_RunTime{0};
+  // Estimated time from now to the end of the workflow if all were placed now.
+  core::Duration m_Remaining{0};
+  // Targets on which a task of the step has failed.
+  std::set<core::TargetId> m_FailedOn;
+  // True while the workspace uses less for priority zero than it reserved.
+  bool m_WithinReserve = false;
+
+  [[nodiscard]] const workflow::StepSpec &spec() const {
+    return m_Workflow->spec().m_Steps[m_Step];
+  }
+  [[nodiscard]] const workflow::Terms &terms() const {
+    return m_Workflow->spec().m_Terms;
+  }
+  friend bool operator==(const Demand &, const Demand &) = default;
+};
+
+} // namespace fireflydrift::assignment
+
+#endif // FIREFLYDRIFT_ASSIGNMENT_VIEW_H
--- a/packages/configuration/configuration.cpp
+++ b/packages/configuration/configuration.cpp
@@ -1,6 +1,7 @@
 #include "configuration/configuration.h"
 
 #include <algorithm>
+#include <set>
 
 namespace fireflydrift::configuration {
 
@@ -8,9 +9,12 @@
 
 Configuration Configuration::restore(ConfigurationFields Fields) {
   Configuration Restored;
-  for (const workspace::WorkspaceSpec &Spec : Fields.m_Workspaces)
+  for (const workspace::WorkspaceSpec &Spec : Fields.m_Workspaces) {
+    for (const std::string &Key : Spec.m_Keys)
+      Restored.m_Keys.emplace(Key, Spec.m_Id);
     if (auto Created = Workspace::create(Spec))
       Restored.m_Workspaces.emplace(Spec.m_Id, *std::move(Created));
+  }
   Restored.m_Fields = std::move(Fields);
   return Restored;
 }
@@ -20,6 +24,11 @@
   return Found == m_Workspaces.end() ? nullptr : &Found->second;
 }
 
+const Workspace *Configuration::findByKey(const std::string &Key) const {
+  auto Found = m_Keys.find(Key);
+  return Found == m_Keys.end() ? nullptr : find(Found->second);
+}
+
 std::optional<std::uint64_t>
 Configuration::acceptedAs(const core::OperationId &Operation) const {
   for (const auto &[Version, Accepted] : m_Fields.m_Accepted)
@@ -46,19 +55,35 @@
   return {};
 }
 
-static core::Reason checkWorkspaces(const Proposal &Value) {
-  if (Value.m_Workspaces.size() > MaxWorkspaces)
+static core::Reason
+checkWorkspaces(const std::vector<workspace::WorkspaceSpec> &All) {
+  if (All.size() > MaxWorkspaces)
     return invalid("workspaces", "at most 256");
-  std::map<core::WorkspaceId, bool> Seen;
-  for (const workspace::WorkspaceSpec &Spec : Value.m_Workspaces) {
+  std::set<core::WorkspaceId> Seen;
+  std::set<std::string> Keys;
+  for (const workspace::WorkspaceSpec &Spec : All) {
     auto Created = Workspace::create(Spec);
     if (!Created) {
       core::Reason Why = Created.reason();
       Why.m_Field = "workspaces." + Spec.m_Id.text() + "." + Why.m_Field;
       return Why;
     }
-    if (!Seen.emplace(Spec.m_Id, true).second)
+    if (!Seen.insert(Spec.m_Id).second)
       return invalid("workspaces", "a workspace stands twice");
+    for (const std::string &Key : Spec.m_Keys)
+      if (!Keys.insert(Key).second)
+        return invalid("workspaces", "a key stands twice");
+  }
+  return {};
+}
+
+static core::Reason checkQueues(const std::vector<Queue> &All) {
+  std::set<std::pair<std::string, std::string>> Places;
+  for (const Queue &Each : All) {
+    if (Each.m_MaxAttempts == 0)
+      return invalid("queues.max_attempts", "must be positive");
+    if (!Places.emplace(Each.m_Host, Each.m_PathPrefix).second)
+      return invalid("queues", "two have the same host and prefix");
   }
   return {};
 }
@@ -77,7 +102,7 @@
                                   " is in force, set by operation '" +
                                   Current.fields().m_Operation.text() + "'"};
   for (const core::Reason &Why :
-       {checkLimits(Value.m_Limits), checkWorkspaces(Value)})
+       {checkLimits(Value.m_Limits), checkWorkspaces(Value.m_Workspaces)})
     if (Why.m_Code != core::ReasonCode::None)
       return Why;
 
@@ -92,4 +117,21 @@
   return Configuration::restore(std::move(Next));
 }
 
+core::Outcome<Configuration> replaced(const Configuration &Current,
+                                      const Replacement &Value) {
+  for (const core::Reason &Why :
+       {checkWorkspaces(Value.m_Workspaces), checkQueues(Value.m_Queues)})
+    if (Why.m_Code != core::ReasonCode::None)
+      return Why;
+  if (Value.m_Version <= Current.version())
+    return Current;
+  ConfigurationFields Next = Current.fields();
+  Next.m_Version = Value.m_Version;
+  Next.m_Operation = {};
+  Next.m_Workspaces = Value.m_Workspaces;
+  Next.m_Queues = Value.m_Queues;
+  Next.m_Document = Value.m_Document;
+  return Configuration::restore(std::move(Next));
+}
+
 } // namespace fireflydrift::configuration
--- a/packages/configuration/configuration.h
+++ b/packages/configuration/configuration.h
@@ -2,6 +2,7 @@
 #ifndef FIREFLYDRIFT_CONFIGURATION_CONFIGURATION_H
 #define FIREFLYDRIFT_CONFIGURATION_CONFIGURATION_H
 
+#include "configuration/queue.h"
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "workspace/workspace.h"
@@ -42,12 +43,27 @@
   friend auto operator<=>(const Proposal &, const Proposal &) = default;
 };
 
+// An operator's whole content under a version that the operator chose. The
+// highest version is in force; a lower or equal one changes nothing.
+struct Replacement {
+  std::uint64_t m_Version = 0;
+  std::vector<workspace::WorkspaceSpec> m_Workspaces;
+  std::vector<Queue> m_Queues;
+  // The content as the operator sent it, returned to whoever reads it.
+  std::string m_Document;
+
+  friend bool operator==(const Replacement &, const Replacement &) = default;
+};
+
 // The stored form of a configuration.
 struct ConfigurationFields {
   std::uint64_t m_Version = 0;
   core::OperationId m_Operation;
   std::vector<workspace::WorkspaceSpec> m_Workspaces;
   Limits m_Limits;
+  std::vector<Queue> m_Queues;
+  // The content as the operator sent it, where it came with its own version.
+  std::string m_Document;
   // Version that each remembered operation created, oldest version first.
   std::map<std::uint64_t, core::OperationId> m_Accepted;
 
@@ -78,6 +94,9 @@
   // The workspace, or nullptr when the configuration has none of that name.
   [[nodiscard]] const workspace::Workspace *
   find(const core::WorkspaceId &Id) const;
+  // The workspace that the key belongs to, or nullptr.
+  [[nodiscard]] const workspace::Workspace *
+  findByKey(const std::string &Key) const;
   // The version that Operation created, if it is still remembered.
   [[nodiscard]] std::optional<std::uint64_t>
   acceptedAs(const core::OperationId &Operation) const;
@@ -88,6 +107,7 @@
 private:
   ConfigurationFields m_Fields;
   std::map<core::WorkspaceId, workspace::Workspace> m_Workspaces;
+  std::map<std::string, core::WorkspaceId> m_Keys;
 };
 
 // The configuration after Value. A resent operation gets the configuration
@@ -96,6 +116,11 @@
 [[nodiscard]] core::Outcome<Configuration> next(const Configuration &Current,
                                                 const Proposal &Value);
 
+// The configuration after a replacement: the one of the higher version. Broken
+// content fails with InvalidInput, whatever its version.
+[[nodiscard]] core::Outcome<Configuration>
+replaced(const Configuration &Current, const Replacement &Value);
+
 } // namespace fireflydrift::configuration
 
 #endif // FIREFLYDRIFT_CONFIGURATION_CONFIGURATION_H
--- /dev/null
+++ b/packages/configuration/queue.h
@@ -0,0 +1,47 @@
+// Queues: where callers hand in workflows, and the terms of each.
+#ifndef FIREFLYDRIFT_CONFIGURATION_QUEUE_H
+#define FIREFLYDRIFT_CONFIGURATION_QUEUE_H
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fireflydrift::configuration {
+
+struct Queue {
+  std::string m_Name;
+  // A call belongs to the queue of its host with the longest prefix that its
+  // path begins with.
+  std::string m_Host;
+  std::string m_PathPrefix;
+  // The pool of targets that runs the queue's tasks.
+  std::string m_Pool;
+  // Zero goes first and may displace others.
+  std::uint32_t m_Priority = 0;
+  std::uint32_t m_MaxAttempts = 1;
+  std::uint32_t m_SlackPercent = 100;
+  core::Duration m_TargetLatency{0};
+  // True when calls need no key.
+  bool m_Public = false;
+
+  friend bool operator==(const Queue &, const Queue &) = default;
+  friend auto operator<=>(const Queue &, const Queue &) = default;
+};
+
+// The queue of a call and the rest of its path, or no queue.
+struct QueueMatch {
+  const Queue *m_Queue = nullptr;
+  std::string m_Rest;
+
+  friend bool operator==(const QueueMatch &, const QueueMatch &) = default;
+};
+
+[[nodiscard]] QueueMatch findQueue(const std::vector<Queue> &All,
+                                   const std::string &Host,
+                                   const std::string &Path);
+
+} // namespace fireflydrift::configuration
+
+#endif // FIREFLYDRIFT_CONFIGURATION_QUEUE_H
--- a/packages/control/command.h
+++ b/packages/control/command.h
@@ -7,6 +7,7 @@
 #include "job/job.h"
 #include "placement/decision.h"
 #include "target/target.h"
+#include "workflow/workflow.h"
 
 #include <variant>
 
@@ -89,10 +90,42 @@
   friend bool operator==(const ExpireJobs &, const ExpireJobs &) = default;
 };
 
+// A caller's job of steps becomes a workflow, or is found again.
+struct AcceptWorkflow {
+  workflow::WorkflowSpec m_Spec;
+  friend bool operator==(const AcceptWorkflow &,
+                         const AcceptWorkflow &) = default;
+};
+struct CancelWorkflow {
+  core::RequestId m_Workflow;
+  friend bool operator==(const CancelWorkflow &,
+                         const CancelWorkflow &) = default;
+};
+// Runs get their targets; the targets are told once this is durable.
+struct AssignTasks {
+  core::RequestId m_Workflow;
+  workflow::Assign m_Assign;
+  friend bool operator==(const AssignTasks &, const AssignTasks &) = default;
+};
+// A run has ended; its target's report is acknowledged once this is durable.
+struct EndRun {
+  core::RequestId m_Workflow;
+  workflow::End m_End;
+  friend bool operator==(const EndRun &, const EndRun &) = default;
+};
+// The operator's content of the highest version is in force.
+struct ReplaceConfiguration {
+  configuration::Replacement m_Replacement;
+  friend bool operator==(const ReplaceConfiguration &,
+                         const ReplaceConfiguration &) = default;
+};
+
 using Command =
     std::variant<AcceptJob, CancelJob, ChangeConfiguration, AnnounceTarget,
                  LeaveTarget, LoseTarget, PlaceJob, StartJob, RefuseJob,
-                 ReclaimFor, ConfirmStopped, FinishTask, RejectJob, ExpireJobs>;
+                 ReclaimFor, ConfirmStopped, FinishTask, RejectJob, ExpireJobs,
+                 AcceptWorkflow, CancelWorkflow, AssignTasks, EndRun,
+                 ReplaceConfiguration>;
 
 // The commands of one log entry, with the leader's time.
 struct Batch {
--- a/packages/control/leader.h
+++ b/packages/control/leader.h
@@ -4,6 +4,7 @@
 #define FIREFLYDRIFT_CONTROL_LEADER_H
 
 #include "control/dispatcher.h"
+#include "control/polling.h"
 #include "control/schedule.h"
 #include "routing/signs.h"
 
@@ -15,6 +16,7 @@
   DispatchOptions m_Dispatch;
   placement::PassOptions m_Pass;
   routing::SignsOptions m_Signs;
+  PollingOptions m_Polling;
   // Time between two passes over an unchanged queue.
   core::Duration m_PassEvery{250};
   core::Duration m_ExpireEvery{30000};
--- a/packages/control/operation.cpp
+++ b/packages/control/operation.cpp
@@ -172,7 +172,11 @@
   return propose(ChangeConfiguration{.m_Proposal = Value.m_Proposal});
 }
 
-static Handling handleOne(const Context &C, const ReadConfiguration &) {
+static Handling handleOne(const Context &C, const ReadConfiguration &Value) {
+  if (Value.m_VersionOnly)
+    return replyNow(ConfigurationView{
+        .m_Fields = {.m_Version =
+                         C.m_State.m_Tables.m_Configuration.version()}});
   return replyNow(configurationView(C.m_State.m_Tables.m_Configuration, {}));
 }
 
@@ -227,6 +231,122 @@
   return propose(LeaveTarget{.m_Target = Value.m_Target});
 }
 
+// ---- Workflows -------------------------------------------------------------
+
+namespace {
+
+// A call on a queue that is allowed.
+struct QueueAccess {
+  const configuration::Queue *m_Queue = nullptr;
+  core::WorkspaceId m_Workspace;
+  // The rest of the path: a workflow's id, or nothing.
+  core::RequestId m_Workflow;
+};
+
+} // namespace
+
+static core::Outcome<QueueAccess> resolve(const State &Current,
+                                          const QueueCall &Call) {
+  const configuration::Configuration &InForce =
+      Current.m_Tables.m_Configuration;
+  if (InForce.version() == 0)
+    return core::Reason{core::ReasonCode::Unavailable, "configuration",
+                        "none is in force yet"};
+  configuration::QueueMatch Match = configuration::findQueue(
+      InForce.fields().m_Queues, Call.m_Host, Call.m_Path);
+  if (!Match.m_Queue)
+    return core::Reason{core::ReasonCode::NotFound, "queue",
+                        "no queue has this host and path"};
+  const workspace::Workspace *Owner = InForce.findByKey(Call.m_Key);
+  if (!Owner && !Match.m_Queue->m_Public)
+    return core::Reason{core::ReasonCode::Unauthorized, "key",
+                        "belongs to no workspace"};
+  return QueueAccess{.m_Queue = Match.m_Queue,
+                     .m_Workspace = Owner ? Owner->id() : core::WorkspaceId(),
+                     .m_Workflow = core::RequestId(Match.m_Rest)};
+}
+
+static WorkflowView viewOf(const workflow::Workflow &Value) {
+  return {.m_Id = Value.id(),
+          .m_Phase = Value.phase(),
+          .m_Begun = Value.fields().m_Begun};
+}
+
+// Limits accepted work so that the state stays in bounds.
+static constexpr std::size_t MaxActiveWorkflows = 20000;
+
+static Handling handleOne(const Context &C, const SubmitWorkflow &Value) {
+  auto Access = resolve(C.m_State, Value.m_Call);
+  if (!Access)
+    return replyNow(Failure{.m_Why = Access.reason()});
+  if (const auto *Known = findWorkflow(C.m_State, Access->m_Workflow))
+    return replyNow(viewOf(*Known));
+  const configuration::Queue &Queue = *Access->m_Queue;
+  workflow::WorkflowSpec Spec{
+      .m_Id = Access->m_Workflow,
+      .m_Workspace = Access->m_Workspace,
+      .m_Terms = {.m_Queue = Queue.m_Name,
+                  .m_Pool = Queue.m_Pool,
+                  .m_Priority = Queue.m_Priority,
+                  .m_MaxAttempts = Queue.m_MaxAttempts,
+                  .m_SlackPercent = Queue.m_SlackPercent,
+                  .m_TargetLatency = Queue.m_TargetLatency},
+      .m_Body = Value.m_Body,
+      .m_Steps = Value.m_Steps};
+  core::Reason Why = workflow::check(Spec);
+  if (Why.m_Code != core::ReasonCode::None)
+    return replyNow(Failure{.m_Why = std::move(Why)});
+  if (C.m_State.m_Indexes.m_ActiveWorkflows.size() >= MaxActiveWorkflows)
+    return fail(core::ReasonCode::Overloaded, "queue",
+                "too many workflows wait; this one was not accepted");
+  return propose(AcceptWorkflow{.m_Spec = std::move(Spec)});
+}
+
+static std::uint64_t pendingIn(const State &Current, const std::string &Queue) {
+  std::uint64_t Pending = 0;
+  for (const core::RequestId &Id : Current.m_Indexes.m_ActiveWorkflows) {
+    const workflow::Workflow &Value = *findWorkflow(Current, Id);
+    if (Value.spec().m_Terms.m_Queue == Queue && !Value.fields().m_Begun)
+      ++Pending;
+  }
+  return Pending;
+}
+
+static Handling handleOne(const Context &C, const FetchWorkflow &Value) {
+  auto Access = resolve(C.m_State, Value.m_Call);
+  if (!Access)
+    return replyNow(Failure{.m_Why = Access.reason()});
+  if (Access->m_Workflow.empty())
+    return replyNow(PendingView{
+        .m_Pending = pendingIn(C.m_State, Access->m_Queue->m_Name)});
+  const auto *Known = findWorkflow(C.m_State, Access->m_Workflow);
+  return Known ? replyNow(viewOf(*Known)) : noSuchJob();
+}
+
+static Handling handleOne(const Context &C, const AbandonWorkflow &Value) {
+  auto Access = resolve(C.m_State, Value.m_Call);
+  if (!Access)
+    return replyNow(Failure{.m_Why = Access.reason()});
+  const auto *Known = findWorkflow(C.m_State, Access->m_Workflow);
+  if (!Known)
+    return noSuchJob();
+  if (Known->phase() != workflow::Phase::Active)
+    return replyNow(viewOf(*Known));
+  return propose(CancelWorkflow{.m_Workflow = Access->m_Workflow});
+}
+
+static Handling handleOne(const Context &C, const Replace &Value) {
+  const configuration::Configuration &InForce =
+      C.m_State.m_Tables.m_Configuration;
+  auto Next = configuration::replaced(InForce, Value.m_Replacement);
+  if (!Next)
+    return replyNow(Failure{.m_Why = Next.reason()});
+  // The newest version stands; an older or a resent one is acknowledged.
+  if (Next->version() == InForce.version())
+    return replyNow(Acknowledged{});
+  return propose(ReplaceConfiguration{.m_Replacement = Value.m_Replacement});
+}
+
 Handling handle(const State &Current, const Operation &Value,
                 const placement::Witnesses &Witnesses, core::Time Now) {
   Context C{.m_State = Current, .m_Witnesses = Witnesses, .m_Now = Now};
@@ -242,6 +362,15 @@
   return *noSuchJob().m_Reply;
 }
 
+// The workflow that a call just made or cancelled. Its queue may have gone in
+// the meantime, so the id is read off the end of the path.
+static Reply workflowReply(const State &Current, const QueueCall &Call) {
+  core::RequestId Id(Call.m_Path.substr(Call.m_Path.rfind('/') + 1));
+  if (const auto *Found = findWorkflow(Current, Id))
+    return viewOf(*Found);
+  return *noSuchJob().m_Reply;
+}
+
 Reply answer(const State &Current, const Operation &Value,
              const core::Reason &Result) {
   bool Refused = Result.m_Code != core::ReasonCode::None;
@@ -254,6 +383,10 @@
     return viewOrFailure(Current, Typed->m_Spec.m_Key);
   if (const auto *Typed = std::get_if<Cancel>(&Value))
     return viewOrFailure(Current, Typed->m_Job);
+  if (const auto *Typed = std::get_if<SubmitWorkflow>(&Value))
+    return workflowReply(Current, Typed->m_Call);
+  if (const auto *Typed = std::get_if<AbandonWorkflow>(&Value))
+    return workflowReply(Current, Typed->m_Call);
   if (const auto *Typed = std::get_if<Configure>(&Value))
     return configurationView(Current.m_Tables.m_Configuration,
                              Typed->m_Proposal.m_Operation);
--- a/packages/control/operation.h
+++ b/packages/control/operation.h
@@ -33,6 +33,8 @@
   friend bool operator==(const Configure &, const Configure &) = default;
 };
 struct ReadConfiguration {
+  // Leaves out everything but the version.
+  bool m_VersionOnly = false;
   friend bool operator==(const ReadConfiguration &,
                          const ReadConfiguration &) = default;
 };
@@ -63,9 +65,45 @@
   friend bool operator==(const Leave &, const Leave &) = default;
 };
 
+// A call on a queue: which one, and whose, is decided where the job is, so that
+// no VM can obey an old configuration.
+struct QueueCall {
+  std::string m_Host;
+  // The queue's prefix and, for one workflow, its id.
+  std::string m_Path;
+  // The caller's key; empty for none.
+  std::string m_Key;
+  friend bool operator==(const QueueCall &, const QueueCall &) = default;
+};
+struct SubmitWorkflow {
+  QueueCall m_Call;
+  std::string m_Body;
+  std::vector<workflow::StepSpec> m_Steps;
+  friend bool operator==(const SubmitWorkflow &,
+                         const SubmitWorkflow &) = default;
+};
+// The state of a workflow; of a queue where the path names no workflow.
+struct FetchWorkflow {
+  QueueCall m_Call;
+  friend bool operator==(const FetchWorkflow &,
+                         const FetchWorkflow &) = default;
+};
+// Cancels a workflow.
+struct AbandonWorkflow {
+  QueueCall m_Call;
+  friend bool operator==(const AbandonWorkflow &,
+                         const AbandonWorkflow &) = default;
+};
+// Puts a configuration with a version of its own in force.
+struct Replace {
+  configuration::Replacement m_Replacement;
+  friend bool operator==(const Replace &, const Replace &) = default;
+};
+
 using Operation =
     std::variant<Submit, Fetch, Cancel, Explain, Configure, ReadConfiguration,
-                 ReadStatus, Announce, ReportResults, Leave>;
+                 ReadStatus, Announce, ReportResults, Leave, SubmitWorkflow,
+                 FetchWorkflow, AbandonWorkflow, Replace>;
 
 // ---- Replies ---------------------------------------------------------------
 
@@ -124,6 +162,19 @@
   std::vector<VmStatus> m_Vms;
   friend bool operator==(const StatusView &, const StatusView &) = default;
 };
+// A workflow as its caller sees it.
+struct WorkflowView {
+  core::RequestId m_Id;
+  workflow::Phase m_Phase = workflow::Phase::Active;
+  // True once a task was assigned.
+  bool m_Begun = false;
+  friend bool operator==(const WorkflowView &, const WorkflowView &) = default;
+};
+struct PendingView {
+  // Accepted workflows of the queue of which no task was assigned yet.
+  std::uint64_t m_Pending = 0;
+  friend bool operator==(const PendingView &, const PendingView &) = default;
+};
 struct Acknowledged {
   friend bool operator==(const Acknowledged &, const Acknowledged &) = default;
 };
@@ -132,8 +183,9 @@
   friend bool operator==(const Failure &, const Failure &) = default;
 };
 
-using Reply = std::variant<Acknowledged, JobView, DecisionsView,
-                           ConfigurationView, StatusView, Failure>;
+using Reply =
+    std::variant<Acknowledged, JobView, DecisionsView, ConfigurationView,
+                 StatusView, Failure, WorkflowView, PendingView>;
 
 // ---- Deciding about operations ---------------------------------------------
 
--- /dev/null
+++ b/packages/control/polling.h
@@ -0,0 +1,107 @@
+// The leader's side of targets that fetch their orders: what each report means
+// for the workflows, what each target is told, and when work is given up.
+//
+// Orders follow from state: whatever is assigned to a target and not reported
+// by it is started, whatever it reports and is not wanted is stopped. An order
+// that was lost is given again with the next report.
+#ifndef FIREFLYDRIFT_CONTROL_POLLING_H
+#define FIREFLYDRIFT_CONTROL_POLLING_H
+
+#include "assignment/pass.h"
+#include "control/state.h"
+#include "roster/roster.h"
+
+namespace fireflydrift::control {
+
+// ---- Options ---------------------------------------------------------------
+
+struct PollingOptions {
+  roster::RosterOptions m_Roster;
+  assignment::PassOptions m_Pass;
+  // Longest time for which a report of an idle target waits for orders. The
+  // target drops an answer that takes longer than a second.
+  core::Duration m_HoldIdle{700};
+  // Longest time for which a report waits until its ends are durable.
+  core::Duration m_HoldEnds{400};
+  // When a target with tasks and free room is asked to report again.
+  core::Duration m_ReportAgain{300};
+  // Shortest time between two passes.
+  core::Duration m_PassEvery{15};
+  // Time after which waiting steps are looked at again without a change.
+  core::Duration m_PassAgain{250};
+  core::Duration m_LossEvery{100};
+
+  friend bool operator==(const PollingOptions &,
+                         const PollingOptions &) = default;
+};
+
+// ---- State -----------------------------------------------------------------
+
+// The leader's working state; a new leader starts with an empty one.
+struct Polling {
+  roster::Roster m_Roster;
+  // Runs that are being stopped for others.
+  std::map<workflow::TaskKey, std::uint32_t> m_Displaced;
+  // Runs whose end was proposed and is not durable yet.
+  std::map<workflow::TaskKey, std::uint32_t> m_EndProposed;
+  bool m_PassNeeded = true;
+  core::Time m_PassAt;
+  core::Time m_LossAt;
+
+  friend bool operator==(const Polling &, const Polling &) = default;
+};
+
+[[nodiscard]] Polling beginPolling(core::Time Now);
+
+// ---- Steps -----------------------------------------------------------------
+
+struct PollingStep {
+  Polling m_Polling;
+  std::vector<Command> m_Commands;
+  // What the pass decided, for the log.
+  std::vector<assignment::Displacement> m_Displacements;
+
+  friend bool operator==(const PollingStep &, const PollingStep &) = default;
+};
+
+// After a report. A stale one changes nothing.
+[[nodiscard]] PollingStep polled(Polling Before, const State &Current,
+                                 roster::Report Value,
+                                 const PollingOptions &Options, core::Time Now);
+
+// After the target said that it leaves now. Without an incarnation it may be
+// an old message, and the target merely gets no new work.
+[[nodiscard]] Polling leaves(Polling Before, const core::TargetId &Id,
+                             std::optional<std::uint64_t> Incarnation);
+
+// After commands were applied.
+[[nodiscard]] Polling afterApplied(Polling Before, const State &Current,
+                                   const Applied &Result);
+
+// What is due at Now: runs lost with their targets, and a pass over waiting
+// steps unless MayPass is false because an earlier one is not applied yet.
+[[nodiscard]] PollingStep lead(Polling Before, const State &Current,
+                               const PollingOptions &Options, bool MayPass,
+                               core::Time Now);
+
+// ---- Answers ---------------------------------------------------------------
+
+// What a target's newest report is answered, as of now.
+struct OrdersNow {
+  roster::Orders m_Orders;
+  // True when the answer should leave at once.
+  bool m_IsUrgent = false;
+  // Otherwise how long it may wait for something to tell.
+  core::Duration m_MayWait{0};
+
+  friend bool operator==(const OrdersNow &, const OrdersNow &) = default;
+};
+
+[[nodiscard]] OrdersNow ordersFor(const Polling &Current, const State &State,
+                                  const roster::Member &To,
+                                  const PollingOptions &Options,
+                                  std::uint64_t Fence);
+
+} // namespace fireflydrift::control
+
+#endif // FIREFLYDRIFT_CONTROL_POLLING_H
--- a/packages/control/state.cpp
+++ b/packages/control/state.cpp
@@ -1,4 +1,4 @@
-#include "control/state.h"
+#include "control/apply.h"
 
 #include <algorithm>
 
@@ -7,19 +7,7 @@
 // Finished jobs that are kept at most, whatever their retention.
 static constexpr std::size_t MaxFinishedJobs = 20000;
 
-namespace impl {
-
-// The working state while a batch is applied.
-struct Work {
-  Applied m_Out;
-
-  Tables &tables() { return m_Out.m_State.m_Tables; }
-  Indexes &indexes() { return m_Out.m_State.m_Indexes; }
-  [[nodiscard]] core::Time now() const { return m_Out.m_State.m_Tables.m_At; }
-};
-
-} // namespace impl
-
+using impl::applyOne;
 using impl::Work;
 
 // ---- Indexes ---------------------------------------------------------------
@@ -77,6 +65,8 @@
         std::move(Restored.m_Indexes.m_Fleet).withTarget(Value);
   for (const auto &[Key, Value] : Stored.m_Jobs)
     addToIndexes(Stored, Restored.m_Indexes, Value);
+  for (const auto &[Id, Value] : Stored.m_Workflows)
+    impl::addToIndexes(Restored.m_Indexes, Value);
   Restored.m_Tables = std::move(Stored);
   return Restored;
 }
@@ -329,6 +319,18 @@
     W.tables().m_Jobs.erase(Key);
     W.tables().m_Decisions.erase(Key);
   }
+  impl::expireWorkflows(W);
+  return {};
+}
+
+static core::Reason applyOne(Work &W, const ReplaceConfiguration &Value) {
+  auto Next =
+      configuration::replaced(W.tables().m_Configuration, Value.m_Replacement);
+  if (!Next)
+    return Next.reason();
+  bool Changed = Next->version() != W.tables().m_Configuration.version();
+  W.m_Out.m_FleetChanged = W.m_Out.m_FleetChanged || Changed;
+  W.tables().m_Configuration = *std::move(Next);
   return {};
 }
 
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -27,6 +27,7 @@
   std::map<core::JobKey, job::Job> m_Jobs;
   std::map<core::JobKey, std::vector<placement::Decision>> m_Decisions;
   placement::Estimates m_Estimates;
+  std::map<core::RequestId, workflow::Workflow> m_Workflows;
   std::uint64_t m_NextFence = 1;
   // Time of the newest batch; never goes back.
   core::Time m_At;
@@ -43,6 +44,10 @@
   std::set<core::JobKey> m_Placed;
   std::set<std::pair<core::Time, core::JobKey>> m_Finished;
   std::size_t m_AnswerBytes = 0;
+  // Assigned tasks by the target that they were assigned to.
+  std::map<core::TargetId, std::set<workflow::TaskKey>> m_Assigned;
+  std::set<core::RequestId> m_ActiveWorkflows;
+  std::set<std::pair<core::Time, core::RequestId>> m_FinishedWorkflows;
 
   friend bool operator==(const Indexes &, const Indexes &) = default;
 };
@@ -64,6 +69,10 @@
 [[nodiscard]] const job::Job *findJob(const State &Value,
                                       const core::JobKey &Key);
 
+// The workflow, or nullptr when it was never accepted or is forgotten.
+[[nodiscard]] const workflow::Workflow *findWorkflow(const State &Value,
+                                                     const core::RequestId &Id);
+
 // ---- Applying commands -----------------------------------------------------
 
 // A job whose phase or attempt changed.
@@ -85,12 +94,25 @@
   friend bool operator==(const TargetChange &, const TargetChange &) = default;
 };
 
+// A workflow that was accepted, changed its phase, or had runs assigned or
+// ended.
+struct WorkflowChange {
+  core::RequestId m_Workflow;
+  workflow::Phase m_From = workflow::Phase::Active;
+  workflow::Phase m_To = workflow::Phase::Active;
+  bool m_Accepted = false;
+
+  friend bool operator==(const WorkflowChange &,
+                         const WorkflowChange &) = default;
+};
+
 struct Applied {
   State m_State;
   // Each command's result: code None where it took effect or had done so.
   std::vector<core::Reason> m_Results;
   std::vector<Change> m_Changes;
   std::vector<TargetChange> m_TargetChanges;
+  std::vector<WorkflowChange> m_WorkflowChanges;
   // True when targets or the configuration changed, so that witnesses must be
   // found again.
   bool m_FleetChanged = false;
--- a/packages/core/outcome.cpp
+++ b/packages/core/outcome.cpp
@@ -38,6 +38,8 @@
     return "cancelled";
   case ReasonCode::Unauthorized:
     return "unauthorized";
+  case ReasonCode::Undecided:
+    return "undecided";
   }
   return "none";
 }
--- a/packages/core/outcome.h
+++ b/packages/core/outcome.h
@@ -28,6 +28,8 @@
   TaskFailed,
   Cancelled,
   Unauthorized,
+  // It may have taken effect or not; only asking again tells.
+  Undecided,
 };
 
 // Why something did not succeed: the kind, the offending field and the rule
--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -1,4 +1,5 @@
 // The server, the same on every VM.
+#include "platform/face.h"
 #include "runtime/events.h"
 #include "runtime/front.h"
 
@@ -114,6 +115,37 @@
 
 // ---- Running ---------------------------------------------------------------
 
+// Opens what the settings ask for beside the product's own interface.
+static core::Outcome<bool>
+listenForEnvironment(Loop &On, const Settings &Values, platform::Face &Face,
+                     std::vector<std::unique_ptr<HttpServer>> &Into) {
+  const ListenAddresses &Listen = Values.m_Listen;
+  const std::pair<const ListenAddress *, HttpHandler> Faces[] = {
+      {&Listen.m_Callers,
+       [&](const HttpRequest &Request, Responder Respond) {
+         Face.handleCaller(Request, std::move(Respond));
+       }},
+      {&Listen.m_Readiness,
+       [&](const HttpRequest &Request, const Responder &Respond) {
+         Face.handleReadiness(Request, Respond);
+       }},
+      {&Listen.m_Control, [&](const HttpRequest &Request, Responder Respond) {
+         Face.handleControl(Request, std::move(Respond));
+       }}};
+  for (const auto &[Address, Handler] : Faces) {
+    if (Address->m_Port == 0)
+      continue;
+    HttpServerOptions Options = Values.m_Http;
+    Options.m_Host = Address->m_Host;
+    Options.m_Port = Address->m_Port;
+    Into.push_back(std::make_unique<HttpServer>(On, Options, Handler));
+    auto Listening = Into.back()->listen();
+    if (!Listening)
+      return Listening.reason();
+  }
+  return true;
+}
+
 static int runServer(const Settings &Values, Tokens InForce,
                      const TokenFiles &Files) {
   Loop On;
@@ -138,6 +170,14 @@
              {{"reason", core::toString(Listening.reason())}});
     return ExitStart;
   }
+  platform::Face Environment(Self);
+  std::vector<std::unique_ptr<HttpServer>> Others;
+  auto Opened = listenForEnvironment(On, Values, Environment, Others);
+  if (!Opened) {
+    logEvent(Event::ListenFailed,
+             {{"reason", core::toString(Opened.reason())}});
+    return ExitStart;
+  }
   logEvent(Event::Started, {{"vm", Values.m_Self.m_Id.text()},
                             {"http", Values.m_Http.m_Host + ":" +
                                          std::to_string(Values.m_Http.m_Port)},
@@ -147,6 +187,8 @@
     if (StopSignals > 0) {
       Self.drain(On.now());
       Server.drain();
+      for (const auto &Each : Others)
+        Each->drain();
     }
     if (StopSignals > 1 || Self.isDrained(On.now()))
       On.stop();
--- a/packages/messages/archive.h
+++ b/packages/messages/archive.h
@@ -64,7 +64,8 @@
   Ar(V.m_Name, V.m_Shape, V.m_Selector, V.m_ReclaimWithin);
 }
 template <class A> void serialize(A &Ar, WorkspaceSpec &V) {
-  Ar(V.m_Id, V.m_Quota, V.m_MayBorrow, V.m_Weight, V.m_Guarantees);
+  Ar(V.m_Id, V.m_Quota, V.m_MayBorrow, V.m_Weight, V.m_Guarantees,
+     V.m_ReservedAccelerators, V.m_Keys);
 }
 
 } // namespace fireflydrift::workspace
@@ -77,8 +78,16 @@
 template <class A> void serialize(A &Ar, Proposal &V) {
   Ar(V.m_Operation, V.m_Replaces, V.m_Workspaces, V.m_Limits);
 }
+template <class A> void serialize(A &Ar, Queue &V) {
+  Ar(V.m_Name, V.m_Host, V.m_PathPrefix, V.m_Pool, V.m_Priority,
+     V.m_MaxAttempts, V.m_SlackPercent, V.m_TargetLatency, V.m_Public);
+}
+template <class A> void serialize(A &Ar, Replacement &V) {
+  Ar(V.m_Version, V.m_Workspaces, V.m_Queues, V.m_Document);
+}
 template <class A> void serialize(A &Ar, ConfigurationFields &V) {
-  Ar(V.m_Version, V.m_Operation, V.m_Workspaces, V.m_Limits, V.m_Accepted);
+  Ar(V.m_Version, V.m_Operation, V.m_Workspaces, V.m_Limits, V.m_Queues,
+     V.m_Document, V.m_Accepted);
 }
 template <class A> void save(A &Ar, const Configuration &V) { Ar(V.fields()); }
 template <class A> void load(A &Ar, Configuration &V) {
@@ -119,6 +128,43 @@
 
 } // namespace fireflydrift::job
 
+namespace fireflydrift::workflow {
+
+template <class A> void serialize(A &Ar, StepSpec &V) {
+  Ar(V.m_Tasks, V.m_PerTask, V.m_RunTime, V.m_After, V.m_Gang, V.m_OneRack,
+     V.m_Checkpoints, V.m_Lasting, V.m_MaxPerTarget, V.m_Label, V.m_DataRack);
+}
+template <class A> void serialize(A &Ar, Terms &V) {
+  Ar(V.m_Queue, V.m_Pool, V.m_Priority, V.m_MaxAttempts, V.m_SlackPercent,
+     V.m_TargetLatency);
+}
+template <class A> void serialize(A &Ar, WorkflowSpec &V) {
+  Ar(V.m_Id, V.m_Workspace, V.m_Terms, V.m_Body, V.m_Steps);
+}
+template <class A> void serialize(A &Ar, TargetLife &V) {
+  Ar(V.m_Target, V.m_Incarnation);
+}
+template <class A> void serialize(A &Ar, Task &V) {
+  Ar(V.m_Phase, V.m_Run, V.m_Where, V.m_AssignedAt, V.m_Failures, V.m_Saved);
+}
+template <class A> void serialize(A &Ar, Step &V) {
+  Ar(V.m_Tasks, V.m_GangFailures, V.m_LastFailedRun);
+}
+template <class A> void serialize(A &Ar, Assign::Place &V) {
+  Ar(V.m_Index, V.m_Where);
+}
+template <class A> void serialize(A &Ar, Assign &V) {
+  Ar(V.m_Step, V.m_Run, V.m_Places);
+}
+template <class A> void serialize(A &Ar, End &V) {
+  Ar(V.m_Step, V.m_Index, V.m_Run, V.m_How, V.m_Saved);
+}
+template <class A> void serialize(A &Ar, WorkflowFields &V) {
+  Ar(V.m_Spec, V.m_Phase, V.m_Steps, V.m_AcceptedAt, V.m_FinishedAt, V.m_Begun);
+}
+
+} // namespace fireflydrift::workflow
+
 namespace fireflydrift::placement {
 
 template <class A> void serialize(A &Ar, Decision &V) {
@@ -165,6 +211,19 @@
 }
 template <class A> void serialize(A &Ar, RejectJob &V) { Ar(V.m_Job, V.m_Why); }
 template <class A> void serialize(A &, ExpireJobs &) {}
+template <class A> void serialize(A &Ar, AcceptWorkflow &V) { Ar(V.m_Spec); }
+template <class A> void serialize(A &Ar, CancelWorkflow &V) {
+  Ar(V.m_Workflow);
+}
+template <class A> void serialize(A &Ar, AssignTasks &V) {
+  Ar(V.m_Workflow, V.m_Assign);
+}
+template <class A> void serialize(A &Ar, EndRun &V) {
+  Ar(V.m_Workflow, V.m_End);
+}
+template <class A> void serialize(A &Ar, ReplaceConfiguration &V) {
+  Ar(V.m_Replacement);
+}
 template <class A> void serialize(A &Ar, Batch &V) { Ar(V.m_At, V.m_Commands); }
 
 template <class A> void serialize(A &Ar, Submit &V) { Ar(V.m_Spec); }
@@ -172,7 +231,9 @@
 template <class A> void serialize(A &Ar, Cancel &V) { Ar(V.m_Job); }
 template <class A> void serialize(A &Ar, Explain &V) { Ar(V.m_Job); }
 template <class A> void serialize(A &Ar, Configure &V) { Ar(V.m_Proposal); }
-template <class A> void serialize(A &, ReadConfiguration &) {}
+template <class A> void serialize(A &Ar, ReadConfiguration &V) {
+  Ar(V.m_VersionOnly);
+}
 template <class A> void serialize(A &, ReadStatus &) {}
 template <class A> void serialize(A &Ar, Announce &V) { Ar(V.m_Announcement); }
 template <class A> void serialize(A &Ar, TaskResult &V) {
@@ -183,6 +244,20 @@
 }
 template <class A> void serialize(A &Ar, Leave &V) { Ar(V.m_Target); }
 
+template <class A> void serialize(A &Ar, QueueCall &V) {
+  Ar(V.m_Host, V.m_Path, V.m_Key);
+}
+template <class A> void serialize(A &Ar, SubmitWorkflow &V) {
+  Ar(V.m_Call, V.m_Body, V.m_Steps);
+}
+template <class A> void serialize(A &Ar, FetchWorkflow &V) { Ar(V.m_Call); }
+template <class A> void serialize(A &Ar, AbandonWorkflow &V) { Ar(V.m_Call); }
+template <class A> void serialize(A &Ar, Replace &V) { Ar(V.m_Replacement); }
+
+template <class A> void serialize(A &Ar, WorkflowView &V) {
+  Ar(V.m_Id, V.m_Phase, V.m_Begun);
+}
+template <class A> void serialize(A &Ar, PendingView &V) { Ar(V.m_Pending); }
 template <class A> void serialize(A &, Acknowledged &) {}
 template <class A> void serialize(A &Ar, Failure &V) { Ar(V.m_Why); }
 template <class A> void serialize(A &Ar, JobView &V) {
@@ -212,14 +287,23 @@
   std::vector<job::JobFields> Jobs;
   for (const auto &[Key, Value] : V.m_Jobs)
     Jobs.push_back(Value.fields());
-  Ar(V.m_Configuration, Targets, Jobs, V.m_Decisions, V.m_Estimates,
+  std::vector<workflow::WorkflowFields> Workflows;
+  for (const auto &[Id, Value] : V.m_Workflows)
+    Workflows.push_back(Value.fields());
+  Ar(V.m_Configuration, Targets, Jobs, V.m_Decisions, V.m_Estimates, Workflows,
      V.m_NextFence, V.m_At);
 }
 template <class A> void load(A &Ar, Tables &V) {
   std::vector<target::TargetFields> Targets;
   std::vector<job::JobFields> Jobs;
-  Ar(V.m_Configuration, Targets, Jobs, V.m_Decisions, V.m_Estimates,
+  std::vector<workflow::WorkflowFields> Workflows;
+  Ar(V.m_Configuration, Targets, Jobs, V.m_Decisions, V.m_Estimates, Workflows,
      V.m_NextFence, V.m_At);
+  for (workflow::WorkflowFields &Fields : Workflows) {
+    core::RequestId Id = Fields.m_Spec.m_Id;
+    V.m_Workflows.emplace(std::move(Id),
+                          workflow::Workflow::restore(std::move(Fields)));
+  }
   for (target::TargetFields &Fields : Targets) {
     core::TargetId Id = Fields.m_Announcement.m_Id;
     V.m_Targets.emplace(std::move(Id),
--- a/packages/messages/json.cpp
+++ b/packages/messages/json.cpp
@@ -445,12 +445,23 @@
 static Json writeOne(const control::Failure &Value) {
   // A refused request was not accepted, so it did not run. Where that is not
   // certain, the outcome is unknown.
-  bool Uncertain = Value.m_Why.m_Code == core::ReasonCode::Unavailable;
+  bool Uncertain = Value.m_Why.m_Code == core::ReasonCode::Unavailable ||
+                   Value.m_Why.m_Code == core::ReasonCode::Undecided;
   Json Out{{"outcome", Uncertain ? "unknown" : "not_run"}};
   addReason(Out, Value.m_Why);
   return Out;
 }
 
+static Json writeOne(const control::WorkflowView &Value) {
+  return {{"outcome", workflow::toString(Value.m_Phase)},
+          {"id", Value.m_Id.text()},
+          {"begun", Value.m_Begun}};
+}
+
+static Json writeOne(const control::PendingView &Value) {
+  return {{"outcome", "pending"}, {"pending", Value.m_Pending}};
+}
+
 std::string encodeReply(const control::Reply &Value) {
   return impl::write(
       std::visit([](const auto &Typed) { return writeOne(Typed); }, Value));
--- a/packages/routing/admission.cpp
+++ b/packages/routing/admission.cpp
@@ -9,6 +9,12 @@
   if (Now - Current.m_LeaderHeardAt > Options.m_LeaderWithin)
     return {core::ReasonCode::Unavailable, "",
             "no leader is known; the request was not accepted"};
+  return checkRoom(Current, Options, Id);
+}
+
+core::Reason checkRoom(const Admission &Current,
+                       const AdmissionOptions &Options,
+                       const core::WorkspaceId &Id) {
   if (Current.m_Total >= Options.m_MaxHeld)
     return {core::ReasonCode::Overloaded, "",
             "this VM holds as many requests as it may"};
--- a/packages/routing/admission.h
+++ b/packages/routing/admission.h
@@ -35,6 +35,10 @@
   friend bool operator==(const Admission &, const Admission &) = default;
 };
 
+// Why this VM has no room for one more request; code None when it has.
+[[nodiscard]] core::Reason checkRoom(const Admission &Current,
+                                     const AdmissionOptions &Options,
+                                     const core::WorkspaceId &Id);
 // Why a request of this workspace is not taken at Now; code None when it is.
 // A refused request has not been accepted anywhere.
 [[nodiscard]] core::Reason check(const Admission &Current,
--- a/packages/routing/forwarding.cpp
+++ b/packages/routing/forwarding.cpp
@@ -37,7 +37,7 @@
   ForwardingStep Out;
   for (auto &[Id, Value] : Before.m_Pending) {
     if (Now >= Value.m_Deadline) {
-      Out.m_Expired.push_back(Id);
+      Out.m_Expired.push_back({.m_Id = Id, .m_WasSent = Value.m_Tries > 0});
       continue;
     }
     if (!isDue(Value, Leader, Now))
@@ -59,8 +59,8 @@
     Value.m_NextAt = Now + backOff(Options, Id, Value.m_Tries);
     Out.m_Send.push_back(Id);
   }
-  for (std::uint64_t Id : Out.m_Expired)
-    Before.m_Pending.erase(Id);
+  for (const Expired &Each : Out.m_Expired)
+    Before.m_Pending.erase(Each.m_Id);
   Out.m_Forwarding = std::move(Before);
   return Out;
 }
--- a/packages/routing/forwarding.h
+++ b/packages/routing/forwarding.h
@@ -29,12 +29,22 @@
   friend bool operator==(const Forwarding &, const Forwarding &) = default;
 };
 
+// An operation whose deadline is over.
+struct Expired {
+  std::uint64_t m_Id = 0;
+  // False when it was never sent, so that it can't have taken effect.
+  bool m_WasSent = false;
+
+  friend bool operator==(const Expired &, const Expired &) = default;
+  friend auto operator<=>(const Expired &, const Expired &) = default;
+};
+
 // What to do now: operations to send to the leader, and operations whose
 // deadline is over.
 struct ForwardingStep {
   Forwarding m_Forwarding;
   std::vector<std::uint64_t> m_Send;
-  std::vector<std::uint64_t> m_Expired;
+  std::vector<Expired> m_Expired;
 
   friend bool operator==(const ForwardingStep &,
                          const ForwardingStep &) = default;
--- a/packages/runtime/counters.cpp
+++ b/packages/runtime/counters.cpp
@@ -22,8 +22,11 @@
       {"fireflydrift_missing_guarantees", "Guarantees that can't be assembled"},
       {"fireflydrift_operations_total", "Operations decided as leader"},
       {"fireflydrift_placements_total", "Placement decisions by verdict"},
+      {"fireflydrift_reports_total", "Reports of targets that fetch orders"},
       {"fireflydrift_requests_refused_total", "Requests refused by reason"},
       {"fireflydrift_retries_total", "Operations sent to a leader again"},
+      {"fireflydrift_starts_total", "Start orders given in answers to reports"},
+      {"fireflydrift_stops_total", "Stop orders given in answers to reports"},
       {"fireflydrift_target_calls_total", "Calls to targets by outcome"},
       {"fireflydrift_term", "Term of the replicated log"},
   };
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -15,6 +15,14 @@
   return routing::check(m_Admission, m_Options.m_Admission, Id, Now);
 }
 
+core::Reason Entry::room() const {
+  // Whose request it is, only the leader can tell; all share one bound.
+  routing::AdmissionOptions Whole = m_Options.m_Admission;
+  constexpr std::uint32_t All = 100;
+  Whole.m_WorkspacePercent = All;
+  return routing::checkRoom(m_Admission, Whole, core::WorkspaceId());
+}
+
 messages::ReportReply Entry::reportReply(const core::TargetId &Id,
                                          core::Time Now) const {
   bool LeaderKnown =
@@ -32,9 +40,11 @@
 }
 
 void Entry::submit(control::Operation Value, const core::WorkspaceId &Holder,
-                   OnReply Callback, core::Time Now) {
+                   OnReply Callback, core::Time Now,
+                   std::optional<core::Duration> Within) {
   std::uint64_t Id = ++m_NextId;
-  core::Time Deadline = Now + m_Options.m_Deadline + ownWait(Value);
+  core::Time Deadline =
+      Now + Within.value_or(m_Options.m_Deadline) + ownWait(Value);
   m_Admission = routing::taken(std::move(m_Admission), Holder);
   m_Held.emplace(Id, Held{.m_Operation = std::move(Value),
                           .m_Holder = Holder,
@@ -61,12 +71,22 @@
 
 static const char *kindOf(const control::Operation &Value) {
   static constexpr const char *Names[] = {
-      "submit", "fetch",  "cancel",   "explain", "configure",
-      "read",   "status", "announce", "report",  "leave"};
+      "submit",          "fetch",  "cancel",          "explain",
+      "configure",       "read",   "status",          "announce",
+      "report",          "leave",  "submit_workflow", "fetch_workflow",
+      "cancel_workflow", "replace"};
   static_assert(std::size(Names) == std::variant_size_v<control::Operation>);
   return Names[Value.index()];
 }
 
+static core::Reason expiryReason(const routing::Expired &Value) {
+  if (Value.m_WasSent)
+    return {core::ReasonCode::Undecided, "",
+            "no leader decided in time; ask again under the same id"};
+  return {core::ReasonCode::Unavailable, "",
+          "no leader was found in time; nothing was done"};
+}
+
 void Entry::forward(const core::VmId &Leader, core::Time Now) {
   routing::ForwardingStep Next =
       routing::due(std::move(m_Forwarding), Leader, m_Options.m_Retry, Now);
@@ -85,11 +105,8 @@
     m_Send(Leader, messages::ForwardOperation{
                        .m_Id = Id, .m_Operation = Found->second.m_Operation});
   }
-  for (std::uint64_t Id : Next.m_Expired)
-    complete(Id, control::Failure{
-                     {core::ReasonCode::Unavailable, "",
-                      "no leader decided in time; ask again under the same "
-                      "id"}});
+  for (const routing::Expired &Each : Next.m_Expired)
+    complete(Each.m_Id, control::Failure{expiryReason(Each)});
 }
 
 // ---- Targets ---------------------------------------------------------------
--- a/packages/runtime/entry.h
+++ b/packages/runtime/entry.h
@@ -39,13 +39,23 @@
   // Why a request of the workspace is not taken now; code None when it is.
   [[nodiscard]] core::Reason admit(const core::WorkspaceId &Id,
                                    core::Time Now) const;
+  // Why this VM has no room for one more request; code None when it has.
+  [[nodiscard]] core::Reason room() const;
   // What a target that reports is answered.
   [[nodiscard]] messages::ReportReply reportReply(const core::TargetId &Id,
                                                   core::Time Now) const;
 
-  // Holds an operation until it has a reply, and replies once.
+  // True while this VM hears of a leader that holds its lease.
+  [[nodiscard]] bool knowsLeader(core::Time Now) const {
+    return Now - m_Admission.m_LeaderHeardAt <=
+           m_Options.m_Admission.m_LeaderWithin;
+  }
+
+  // Holds an operation until it has a reply, and replies once; Within the time
+  // that its caller waits, where that is known.
   void submit(control::Operation Value, const core::WorkspaceId &Holder,
-              OnReply Callback, core::Time Now);
+              OnReply Callback, core::Time Now,
+              std::optional<core::Duration> Within = std::nullopt);
   void complete(std::uint64_t Id, control::Reply Value);
   void bounced(std::uint64_t Id, core::Time Now);
   // A leader that holds its lease confirmed this VM's configuration.
--- a/packages/runtime/front.cpp
+++ b/packages/runtime/front.cpp
@@ -36,6 +36,7 @@
     return 429;
   case core::ReasonCode::NotLeader:
   case core::ReasonCode::Unavailable:
+  case core::ReasonCode::Undecided:
     return 503;
   case core::ReasonCode::None:
     return 200;
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -68,11 +68,24 @@
                                    : std::string();
 }
 
+static std::map<std::string, std::string> readHeaders(h2o_req_t *Request) {
+  std::map<std::string, std::string> Headers;
+  for (std::size_t I = 0; I < Request->headers.size; ++I) {
+    const h2o_header_t &Each = Request->headers.entries[I];
+    std::string Name = toText(*Each.name);
+    if (Name.starts_with("x-"))
+      Headers[std::move(Name)] = toText(Each.value);
+  }
+  return Headers;
+}
+
 static HttpRequest readRequest(h2o_req_t *Request) {
   std::string Path = toText(Request->path);
   auto Mark = Path.find('?');
   HttpRequest Value{.m_Method = toText(Request->method),
                     .m_Path = Path.substr(0, Mark),
+                    .m_Host = toText(Request->authority),
+                    .m_Headers = readHeaders(Request),
                     .m_Body = toText(Request->entity),
                     .m_Token = readToken(Request)};
   if (Mark != std::string::npos)
@@ -88,6 +101,8 @@
     return "OK";
   case 202:
     return "Accepted";
+  case 307:
+    return "Temporary Redirect";
   case 400:
     return "Bad Request";
   case 401:
@@ -98,6 +113,8 @@
     return "Method Not Allowed";
   case 409:
     return "Conflict";
+  case 410:
+    return "Gone";
   case 413:
     return "Payload Too Large";
   case 422:
@@ -106,6 +123,8 @@
     return "Too Many Requests";
   case 503:
     return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
   default:
     return "Internal Server Error";
   }
@@ -124,6 +143,8 @@
                    Copy.base, Copy.len);
   };
   AddHeader(H2O_TOKEN_CONTENT_TYPE, Value.m_ContentType);
+  if (!Value.m_Location.empty())
+    AddHeader(H2O_TOKEN_LOCATION, Value.m_Location);
   if (Value.m_RetryAfter > 0) {
     std::string Seconds = std::to_string(Value.m_RetryAfter);
     h2o_iovec_t Copy =
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -15,6 +15,10 @@
   // Path without the query.
   std::string m_Path;
   std::map<std::string, std::string> m_Query;
+  // The host that the client named.
+  std::string m_Host;
+  // Headers whose names begin with "x-", by name in lower case.
+  std::map<std::string, std::string> m_Headers;
   std::string m_Body;
   // The token of an "Authorization: Bearer" header; empty without one.
   std::string m_Token;
@@ -28,6 +32,8 @@
   std::string m_ContentType = "application/json";
   // Seconds after which a shed request may come again; zero for none.
   int m_RetryAfter = 0;
+  // Where the client should send its request instead; empty for none.
+  std::string m_Location;
 
   friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
 };
--- a/packages/runtime/leader_host.cpp
+++ b/packages/runtime/leader_host.cpp
@@ -6,7 +6,11 @@
 
 LeaderHost::LeaderHost(control::LeaderOptions Options, Counters &Counts,
                        LeaderHooks Hooks)
-    : m_Options(Options), m_Counters(Counts), m_Hooks(std::move(Hooks)) {}
+    : m_Options(Options), m_Counters(Counts), m_Hooks(std::move(Hooks)),
+      m_Polls(m_Options.m_Polling, Counts,
+              [this](std::vector<control::Command> Commands) {
+                propose(std::move(Commands), std::nullopt);
+              }) {}
 
 bool LeaderHost::hasWork(const control::State &State) const {
   if (!m_Leader)
@@ -17,14 +21,20 @@
 
 // ---- Taking over and giving up ---------------------------------------------
 
-void LeaderHost::begin(const control::State &State, core::Time Now) {
+void LeaderHost::begin(const control::State &State, std::uint64_t Term,
+                       core::Time Now) {
   m_Leader = control::beginLeading(State, Now);
+  m_Term = Term;
+  m_Polls.begin(Term, Now);
+  m_PollPassIndex = 0;
+  m_PollPassProposed = false;
   m_PassIndex = 0;
   m_PassProposed = false;
 }
 
 void LeaderHost::end() {
   m_Leader.reset();
+  m_Polls.end();
   auto Bounce = [&](const std::optional<Waiter> &Each) {
     if (Each)
       m_Hooks.m_Bounce(Each->m_Origin);
@@ -111,6 +121,8 @@
   m_AwaitApplied.emplace(Index, std::exchange(m_ProposalWaiters, {}));
   if (std::exchange(m_PassProposed, false))
     m_PassIndex = Index;
+  if (std::exchange(m_PollPassProposed, false))
+    m_PollPassIndex = Index;
 }
 
 static void logTargetChanges(const control::Applied &Result) {
@@ -134,6 +146,8 @@
     return;
   logChanges(Result, State);
   logTargetChanges(Result);
+  logWorkflows(Result, State);
+  m_Polls.onApplied(Result, State);
   m_Leader = control::afterApplied(*std::move(m_Leader), State, Result, Now);
   answerFetches(Result, State);
   auto Found = m_AwaitApplied.find(Index);
@@ -198,6 +212,9 @@
   // A pass that proposed nothing has nothing to wait for.
   if (m_Proposals.empty())
     m_PassProposed = false;
+  bool MayAssign = m_AppliedIndex >= m_PollPassIndex && !m_PollPassProposed;
+  if (m_Polls.turn(State, MayAssign, Now))
+    m_PollPassProposed = true;
   expireFetches(State, Now);
   logGuarantees();
 }
@@ -284,6 +301,24 @@
   }
 }
 
+void LeaderHost::logWorkflows(const control::Applied &Result,
+                              const control::State &State) {
+  for (const control::WorkflowChange &Each : Result.m_WorkflowChanges) {
+    const workflow::Workflow *Found =
+        control::findWorkflow(State, Each.m_Workflow);
+    if (!Found)
+      continue;
+    Fields Details{{"id", Each.m_Workflow.text()},
+                   {"queue", Found->spec().m_Terms.m_Queue}};
+    if (Each.m_Accepted)
+      logEvent(Event::WorkflowAccepted, Details);
+    if (Each.m_From == Each.m_To)
+      continue;
+    Details.emplace_back("outcome", workflow::toString(Each.m_To));
+    logEvent(Event::WorkflowFinished, Details);
+  }
+}
+
 void LeaderHost::logGuarantees() {
   std::set<placement::GuaranteeKey> Missing(
       m_Leader->m_Witnesses.m_Missing.begin(),
--- a/packages/runtime/leader_host.h
+++ b/packages/runtime/leader_host.h
@@ -6,6 +6,7 @@
 #include "control/leader.h"
 #include "control/operation.h"
 #include "runtime/counters.h"
+#include "runtime/poll_host.h"
 
 #include <functional>
 
@@ -46,8 +47,14 @@
     return m_AwaitApplied.size() + m_Fetches.size();
   }
 
-  // Takes over at Now, when State holds everything that is committed.
-  void begin(const control::State &State, core::Time Now);
+  // The targets that fetch their orders.
+  [[nodiscard]] PollHost &polls() noexcept { return m_Polls; }
+  [[nodiscard]] const PollHost &polls() const noexcept { return m_Polls; }
+  // The term in which this VM leads; meaningful while it does.
+  [[nodiscard]] std::uint64_t term() const noexcept { return m_Term; }
+
+  // Takes over at Now in a term, when State holds everything committed.
+  void begin(const control::State &State, std::uint64_t Term, core::Time Now);
   // Sends every waiting operation back to where it came from.
   void end();
   void decide(const Origin &From, const control::Operation &Value,
@@ -89,6 +96,8 @@
   void expireFetches(const control::State &State, core::Time Now);
   void logNews(const placement::Decision &Value);
   void logChanges(const control::Applied &Result, const control::State &State);
+  void logWorkflows(const control::Applied &Result,
+                    const control::State &State);
   void logGuarantees();
   [[nodiscard]] control::Reply complete(control::Reply Value,
                                         const control::Operation &For) const;
@@ -96,7 +105,9 @@
   control::LeaderOptions m_Options;
   Counters &m_Counters;
   LeaderHooks m_Hooks;
+  PollHost m_Polls;
   std::optional<control::Leader> m_Leader;
+  std::uint64_t m_Term = 0;
   std::vector<control::Command> m_Proposals;
   Waiters m_ProposalWaiters;
   std::map<std::uint64_t, Waiters> m_AwaitApplied;
@@ -105,6 +116,9 @@
   std::uint64_t m_PassIndex = 0;
   std::uint64_t m_AppliedIndex = 0;
   bool m_PassProposed = false;
+  // The same for passes over workflows.
+  std::uint64_t m_PollPassIndex = 0;
+  bool m_PollPassProposed = false;
   std::set<placement::GuaranteeKey> m_Missing;
   core::Time m_TurnAt;
 };
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -326,6 +326,13 @@
 }
 
 void Node::onApplied(std::uint64_t Index, const control::Applied &Result) {
+  // An entry of another leader may stand where this VM proposed one; nobody
+  // who waits for the proposal must be answered with it.
+  const replica::Replica &Self = m_Replica->replica();
+  bool Leads = Self.m_Role == replica::Role::Leader &&
+               Self.m_Hard.m_Term == m_LeaderHost.term();
+  if (m_LeaderHost.isLeading() && !Leads)
+    m_LeaderHost.end();
   m_Counters.add("fireflydrift_commits_total");
   std::uint64_t Version = configurationVersion();
   if (Version != m_LoggedVersion) {
@@ -347,7 +354,7 @@
   }
   bool Leads = replica::holdsLease(Self, Now);
   if (Leads && !m_LeaderHost.isLeading())
-    m_LeaderHost.begin(m_Replica->state(), Now);
+    m_LeaderHost.begin(m_Replica->state(), Self.m_Hard.m_Term, Now);
   // A leader that only lost its lease keeps its working state, and acts again
   // if the lease comes back before another is elected.
   if (Self.m_Role != replica::Role::Leader && m_LeaderHost.isLeading())
@@ -440,7 +447,7 @@
     return;
   m_ReadingConfiguration = true;
   m_Entry.submit(
-      control::ReadConfiguration{}, core::WorkspaceId(),
+      control::ReadConfiguration{.m_VersionOnly = true}, core::WorkspaceId(),
       [this](const control::Reply &Value) {
         m_ReadingConfiguration = false;
         if (const auto *View = std::get_if<control::ConfigurationView>(&Value))
@@ -462,8 +469,25 @@
     m_LeaderHost.flush(Now);
     m_Replica->flush(Now);
   }
-  bool Busy = leads(Now) && m_LeaderHost.hasWork(m_Replica->state());
-  return Busy ? LeaderHost::TurnEvery : TickEvery;
+  if (!leads(Now))
+    return TickEvery;
+  if (m_LeaderHost.hasWork(m_Replica->state()))
+    return LeaderHost::TurnEvery;
+  return m_LeaderHost.polls().quietFor(Now, TickEvery);
+}
+
+void Node::report(roster::Report Value, OnOrders Answer) {
+  core::Time Now = now();
+  if (!leads(Now))
+    return Answer(std::nullopt);
+  m_LeaderHost.polls().report(std::move(Value), std::move(Answer),
+                              m_Replica->state(), Now);
+}
+
+void Node::leave(const core::TargetId &Id,
+                 std::optional<std::uint64_t> Incarnation) {
+  if (leads(now()))
+    m_LeaderHost.polls().leave(Id, Incarnation);
 }
 
 void Node::drain(core::Time Now) {
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -32,15 +32,23 @@
   [[nodiscard]] bool isDrained(core::Time Now) const;
   [[nodiscard]] std::string metricsText();
 
+  // Takes a report of a target that fetches its orders. Answers with nothing
+  // on a VM that does not lead.
+  void report(roster::Report Value, OnOrders Answer);
+  // Takes a target's word that it leaves now.
+  void leave(const core::TargetId &Id,
+             std::optional<std::uint64_t> Incarnation);
+  // The leader that this VM knows; empty while it knows none.
+  [[nodiscard]] core::VmId leader(core::Time Now) const;
+  [[nodiscard]] bool leads(core::Time Now) const;
+
   void drain(core::Time Now);
   // What is due; called after every round of events. Returns how long the
   // loop may wait for events.
   core::Duration turn();
 
 private:
-  [[nodiscard]] bool leads(core::Time Now) const;
   [[nodiscard]] std::uint64_t configurationVersion() const;
-  [[nodiscard]] core::VmId leader(core::Time Now) const;
   [[nodiscard]] LeaderHooks makeHooks();
 
   void onMessage(messages::Envelope Value);
--- /dev/null
+++ b/packages/runtime/poll_host.cpp
@@ -0,0 +1,176 @@
+#include "runtime/poll_host.h"
+
+#include "runtime/events.h"
+
+#include <algorithm>
+
+namespace fireflydrift::runtime {
+
+PollHost::PollHost(control::PollingOptions Options, Counters &Counts,
+                   Propose Proposer)
+    : m_Options(Options), m_Counters(Counts), m_Propose(std::move(Proposer)) {}
+
+core::Duration PollHost::quietFor(core::Time Now, core::Duration Most) const {
+  if (!m_Polling)
+    return Most;
+  core::Duration Wait = Most;
+  if (m_Polling->m_PassNeeded)
+    Wait = std::min(Wait, m_Polling->m_PassAt + m_Options.m_PassEvery - Now);
+  for (const auto &[Id, Each] : m_Held)
+    Wait = std::min(Wait, Each.m_Until - Now);
+  return std::max(Wait, core::Duration(1));
+}
+
+// ---- Taking over and giving up ---------------------------------------------
+
+void PollHost::begin(std::uint64_t Fence, core::Time Now) {
+  m_Polling = control::beginPolling(Now);
+  m_Fence = Fence;
+}
+
+void PollHost::end() {
+  m_Polling.reset();
+  for (auto &[Id, Each] : std::exchange(m_Held, {}))
+    Each.m_Answer(std::nullopt);
+}
+
+// ---- Reports ---------------------------------------------------------------
+
+static void logReport(const roster::Report &Value, bool NewLife) {
+  if (NewLife)
+    logEvent(Event::TargetReporting,
+             {{"target", Value.m_Target.text()},
+              {"incarnation", std::to_string(Value.m_Incarnation)},
+              {"address", Value.m_Address},
+              {"rack", Value.m_Rack}});
+  for (const roster::EndedTask &Each : Value.m_Ended)
+    logEvent(Event::RunEnded, {{"task", workflow::toString(Each.m_Task)},
+                               {"run", std::to_string(Each.m_Run)},
+                               {"cause", roster::toString(Each.m_Cause)},
+                               {"target", Value.m_Target.text()}});
+}
+
+void PollHost::report(roster::Report Value, OnOrders Answer,
+                      const control::State &State, core::Time Now) {
+  if (!m_Polling)
+    return Answer(std::nullopt);
+  m_Counters.add("fireflydrift_reports_total");
+  core::TargetId Id = Value.m_Target;
+  if (!m_Polling->m_Roster.isFresh(Value)) {
+    logEvent(Event::ReportStale,
+             {{"target", Id.text()},
+              {"sequence", std::to_string(Value.m_Sequence)}});
+    return Answer(roster::Orders{.m_Fence = m_Fence});
+  }
+  const roster::Member *Known = m_Polling->m_Roster.find(Id);
+  bool WasDraining = Known && Known->m_Last.m_Draining;
+  logReport(Value,
+            !Known || Known->m_Last.m_Incarnation != Value.m_Incarnation);
+  if (Value.m_Draining && !WasDraining)
+    logEvent(Event::TargetDraining,
+             {{"target", Id.text()},
+              {"remaining_ms", std::to_string(Value.m_Remaining.count())}});
+  // The target has given up on its earlier report.
+  if (auto Earlier = m_Held.extract(Id); !Earlier.empty())
+    Earlier.mapped().m_Answer(std::nullopt);
+  control::PollingStep Next = control::polled(*std::move(m_Polling), State,
+                                              std::move(Value), m_Options, Now);
+  m_Polling = std::move(Next.m_Polling);
+  m_Propose(std::move(Next.m_Commands));
+  const roster::Member *From = m_Polling->m_Roster.find(Id);
+  control::OrdersNow Said =
+      control::ordersFor(*m_Polling, State, *From, m_Options, m_Fence);
+  Held Waiting{.m_Answer = std::move(Answer),
+               .m_ReportedAt = Now,
+               .m_Until = Now + Said.m_MayWait};
+  if (Said.m_IsUrgent || Said.m_MayWait <= core::Duration::zero())
+    answer(Id, std::move(Waiting), std::move(Said.m_Orders));
+  else
+    m_Held.emplace(Id, std::move(Waiting));
+}
+
+void PollHost::leave(const core::TargetId &Id,
+                     std::optional<std::uint64_t> Incarnation) {
+  if (!m_Polling)
+    return;
+  logEvent(Event::TargetLeaving, {{"target", Id.text()}});
+  m_Polling = control::leaves(*std::move(m_Polling), Id, Incarnation);
+}
+
+// ---- Answers ---------------------------------------------------------------
+
+void PollHost::logOrders(const core::TargetId &Id,
+                         const roster::Orders &Orders) {
+  for (const roster::StartOrder &Each : Orders.m_Starts)
+    logEvent(Event::RunStarted, {{"task", workflow::toString(Each.m_Task)},
+                                 {"run", std::to_string(Each.m_Run)},
+                                 {"target", Id.text()},
+                                 {"saved", Each.m_Saved}});
+  for (const roster::StopOrder &Each : Orders.m_Stops)
+    logEvent(Event::RunStopping, {{"task", workflow::toString(Each.m_Task)},
+                                  {"run", std::to_string(Each.m_Run)},
+                                  {"target", Id.text()}});
+  m_Counters.add("fireflydrift_starts_total", Orders.m_Starts.size());
+  m_Counters.add("fireflydrift_stops_total", Orders.m_Stops.size());
+}
+
+void PollHost::answer(const core::TargetId &Id, Held Value,
+                      roster::Orders Orders) {
+  m_Polling->m_Roster =
+      std::move(m_Polling->m_Roster)
+          .extended(Id, m_Options.m_Roster, Value.m_ReportedAt);
+  logOrders(Id, Orders);
+  Value.m_Answer(std::move(Orders));
+}
+
+void PollHost::answerHeld(const control::State &State, core::Time Now) {
+  bool News = std::exchange(m_News, false);
+  for (auto Each = m_Held.begin(); Each != m_Held.end();) {
+    if (!News && Now < Each->second.m_Until) {
+      ++Each;
+      continue;
+    }
+    const roster::Member *To = m_Polling->m_Roster.find(Each->first);
+    control::OrdersNow Said =
+        To ? control::ordersFor(*m_Polling, State, *To, m_Options, m_Fence)
+           : control::OrdersNow{};
+    if (To && !Said.m_IsUrgent && Now < Each->second.m_Until) {
+      ++Each;
+      continue;
+    }
+    auto Taken = m_Held.extract(Each++);
+    if (To)
+      answer(Taken.key(), std::move(Taken.mapped()), std::move(Said.m_Orders));
+    else
+      Taken.mapped().m_Answer(std::nullopt);
+  }
+}
+
+// ---- Duties ----------------------------------------------------------------
+
+void PollHost::onApplied(const control::Applied &Result,
+                         const control::State &State) {
+  if (!m_Polling)
+    return;
+  m_Polling = control::afterApplied(*std::move(m_Polling), State, Result);
+  m_News = m_News || !Result.m_WorkflowChanges.empty();
+}
+
+bool PollHost::turn(const control::State &State, bool MayPass, core::Time Now) {
+  if (!m_Polling)
+    return false;
+  control::PollingStep Next =
+      control::lead(*std::move(m_Polling), State, m_Options, MayPass, Now);
+  m_Polling = std::move(Next.m_Polling);
+  for (const assignment::Displacement &Each : Next.m_Displacements)
+    logEvent(Event::RunDisplaced, {{"task", workflow::toString(Each.m_Task)},
+                                   {"run", std::to_string(Each.m_Run)},
+                                   {"for", Each.m_For.text()}});
+  m_News = m_News || !Next.m_Displacements.empty();
+  bool Proposed = !Next.m_Commands.empty();
+  m_Propose(std::move(Next.m_Commands));
+  answerHeld(State, Now);
+  return Proposed;
+}
+
+} // namespace fireflydrift::runtime
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -222,6 +222,10 @@
       {{"targets", "lease_ms",
         "How long a target keeps its leases without contact"},
        duration(PART(m_Leader.m_Dispatch.m_Lease), 1000, 60 * Minute)},
+      {{"targets", "report_lease_ms",
+        "How far each answered report extends the leases of a target that "
+        "fetches its orders"},
+       duration(PART(m_Leader.m_Polling.m_Roster.m_Lease), 100, Minute)},
       {{"security", "operator_token_file",
         "File with the operators' token; without it operators need none"},
        text(PART(m_OperatorTokenFile))},
--- /dev/null
+++ b/packages/workflow/spec.cpp
@@ -0,0 +1,55 @@
+#include "workflow/spec.h"
+
+#include <algorithm>
+
+namespace fireflydrift::workflow {
+
+static core::Reason invalid(std::size_t Step, const char *Field,
+                            const char *Rule) {
+  return {core::ReasonCode::InvalidInput,
+          "steps." + std::to_string(Step) + "." + Field, Rule};
+}
+
+static core::Reason checkStep(const StepSpec &Value, std::size_t Number) {
+  if (Value.m_Tasks == 0 || Value.m_Tasks > MaxTasksPerStep)
+    return invalid(Number, "tasks", "must be 1 to 4096");
+  const core::Capacity &Each = Value.m_PerTask;
+  if (Each.m_Accelerators < 0 || Each.m_Processors < 0 || Each.m_MemoryMb < 0)
+    return invalid(Number, "per_task", "must not be negative");
+  if (Value.m_RunTime < core::Duration::zero())
+    return invalid(Number, "run_time_ms", "must not be negative");
+  for (std::uint32_t Earlier : Value.m_After)
+    if (Earlier >= Number)
+      return invalid(Number, "after", "must name earlier steps");
+  return {};
+}
+
+core::Reason check(const WorkflowSpec &Spec) {
+  if (!core::isValidId(Spec.m_Id.text()))
+    return {core::ReasonCode::InvalidInput, "id", "must be a valid identifier"};
+  if (Spec.m_Body.size() > MaxBodyBytes)
+    return {core::ReasonCode::TooLarge, "body", "at most 262144 bytes"};
+  if (Spec.m_Steps.empty() || Spec.m_Steps.size() > MaxSteps)
+    return {core::ReasonCode::InvalidInput, "steps", "must be 1 to 256"};
+  for (std::size_t I = 0; I < Spec.m_Steps.size(); ++I) {
+    core::Reason Why = checkStep(Spec.m_Steps[I], I);
+    if (Why.m_Code != core::ReasonCode::None)
+      return Why;
+  }
+  return {};
+}
+
+core::Duration longestChain(const WorkflowSpec &Spec) {
+  std::vector<core::Duration> Ends;
+  core::Duration Longest{0};
+  for (const StepSpec &Each : Spec.m_Steps) {
+    core::Duration Start{0};
+    for (std::uint32_t Earlier : Each.m_After)
+      Start = std::max(Start, Ends[Earlier]);
+    Ends.push_back(Start + Each.m_RunTime);
+    Longest = std::max(Longest, Ends.back());
+  }
+  return Longest;
+}
+
+} // namespace fireflydrift::workflow
--- /dev/null
+++ b/packages/workflow/workflow.cpp
@@ -0,0 +1,243 @@
+#include "workflow/workflow.h"
+
+#include <algorithm>
+
+namespace fireflydrift::workflow {
+
+std::string toString(const TaskKey &Key) {
+  return Key.m_Workflow.text() + "/" + std::to_string(Key.m_Step) + "/" +
+         std::to_string(Key.m_Index);
+}
+
+// ---- Observation -----------------------------------------------------------
+
+core::Outcome<Workflow> Workflow::create(WorkflowSpec Spec, core::Time Now) {
+  core::Reason Why = check(Spec);
+  if (Why.m_Code != core::ReasonCode::None)
+    return Why;
+  WorkflowFields Fields{.m_AcceptedAt = Now};
+  for (const StepSpec &Each : Spec.m_Steps)
+    Fields.m_Steps.push_back({.m_Tasks = std::vector<Task>(Each.m_Tasks)});
+  Fields.m_Spec = std::move(Spec);
+  return Workflow(std::move(Fields));
+}
+
+Workflow Workflow::restore(WorkflowFields Fields) {
+  return Workflow(std::move(Fields));
+}
+
+const Task *Workflow::find(std::uint32_t Step,
+                           std::uint32_t Index) const noexcept {
+  if (Step >= m_Fields.m_Steps.size())
+    return nullptr;
+  const std::vector<Task> &Tasks = m_Fields.m_Steps[Step].m_Tasks;
+  return Index < Tasks.size() ? &Tasks[Index] : nullptr;
+}
+
+static bool isDone(const Step &Value) {
+  return std::all_of(
+      Value.m_Tasks.begin(), Value.m_Tasks.end(),
+      [](const Task &Each) { return Each.m_Phase == TaskPhase::Done; });
+}
+
+static bool anyAssigned(const Step &Value) {
+  return std::any_of(
+      Value.m_Tasks.begin(), Value.m_Tasks.end(),
+      [](const Task &Each) { return Each.m_Phase == TaskPhase::Assigned; });
+}
+
+bool Workflow::isReady(std::uint32_t Step) const noexcept {
+  if (m_Fields.m_Phase != Phase::Active || Step >= m_Fields.m_Steps.size())
+    return false;
+  const StepSpec &Spec = m_Fields.m_Spec.m_Steps[Step];
+  bool Follows = std::all_of(
+      Spec.m_After.begin(), Spec.m_After.end(),
+      [&](std::uint32_t Each) { return isDone(m_Fields.m_Steps[Each]); });
+  return Follows && !(Spec.m_Gang && anyAssigned(m_Fields.m_Steps[Step]));
+}
+
+bool Workflow::isWanted(std::uint32_t Step,
+                        std::uint32_t Index) const noexcept {
+  const Task *Found = find(Step, Index);
+  if (!Found || Found->m_Phase != TaskPhase::Assigned ||
+      m_Fields.m_Phase != Phase::Active)
+    return false;
+  if (!m_Fields.m_Spec.m_Steps[Step].m_Gang)
+    return true;
+  const std::vector<Task> &Members = m_Fields.m_Steps[Step].m_Tasks;
+  return std::all_of(Members.begin(), Members.end(), [&](const Task &Each) {
+    return Each.m_Phase == TaskPhase::Assigned && Each.m_Run == Found->m_Run;
+  });
+}
+
+std::uint32_t Workflow::nextRun(std::uint32_t Step,
+                                std::uint32_t Index) const noexcept {
+  const Task *Found = find(Step, Index);
+  if (!Found)
+    return 1;
+  if (!m_Fields.m_Spec.m_Steps[Step].m_Gang)
+    return Found->m_Run + 1;
+  std::uint32_t Highest = 0;
+  for (const Task &Each : m_Fields.m_Steps[Step].m_Tasks)
+    Highest = std::max(Highest, Each.m_Run);
+  return Highest + 1;
+}
+
+// ---- Refusing --------------------------------------------------------------
+
+static core::Reason illegal(const char *Field, const char *Rule) {
+  return {core::ReasonCode::IllegalTransition, Field, Rule};
+}
+
+static core::Reason refusalOf(const Workflow &Current, const Assign &Value) {
+  if (!Current.isReady(Value.m_Step))
+    return illegal("step", "is not ready to be assigned");
+  const StepSpec &Spec = Current.spec().m_Steps[Value.m_Step];
+  if (Spec.m_Gang && Value.m_Places.size() != Spec.m_Tasks)
+    return illegal("places", "a gang is assigned as a whole");
+  for (const Assign::Place &Each : Value.m_Places) {
+    const Task *Found = Current.find(Value.m_Step, Each.m_Index);
+    if (!Found || Found->m_Phase != TaskPhase::Waiting)
+      return illegal("places", "the task does not wait");
+    if (Value.m_Run <= Found->m_Run)
+      return illegal("run", "must be higher than every earlier run");
+  }
+  return {};
+}
+
+static core::Reason refusalOf(const Workflow &Current, const End &Value) {
+  if (!Current.find(Value.m_Step, Value.m_Index))
+    return illegal("task", "there is none of that number");
+  return {};
+}
+
+static core::Reason refusalOf(const Workflow &, const Cancel &) { return {}; }
+
+core::Reason refusal(const Workflow &Current, const Input &Value) {
+  return std::visit(
+      [&](const auto &Typed) { return refusalOf(Current, Typed); }, Value);
+}
+
+// ---- Changing --------------------------------------------------------------
+
+static void finish(WorkflowFields &Fields, Phase As, core::Time Now) {
+  Fields.m_Phase = As;
+  Fields.m_FinishedAt = Now;
+}
+
+static void change(WorkflowFields &Fields, const Assign &Value,
+                   core::Time Now) {
+  Fields.m_Begun = true;
+  for (const Assign::Place &Each : Value.m_Places) {
+    Task &Placed = Fields.m_Steps[Value.m_Step].m_Tasks[Each.m_Index];
+    Placed.m_Phase = TaskPhase::Assigned;
+    Placed.m_Run = Value.m_Run;
+    Placed.m_Where = Each.m_Where;
+    Placed.m_AssignedAt = Now;
+  }
+}
+
+// Saved progress grows, and targets name it in an order that grows with it. A
+// gang's members report the same progress at different times, so the greater
+// value is the newer one.
+static void save(Step &Into, const StepSpec &Spec, std::uint32_t Index,
+                 const std::string &Saved) {
+  auto Keep = [&](Task &Each) {
+    bool Newer = Saved.size() != Each.m_Saved.size() || Saved > Each.m_Saved;
+    if (Newer)
+      Each.m_Saved = Saved;
+  };
+  if (!Spec.m_Checkpoints || Saved.empty())
+    return;
+  if (!Spec.m_Gang)
+    return Keep(Into.m_Tasks[Index]);
+  for (Task &Each : Into.m_Tasks)
+    Keep(Each);
+}
+
+static void succeed(WorkflowFields &Fields, const End &Value, core::Time Now) {
+  Step &In = Fields.m_Steps[Value.m_Step];
+  // One member's end stands for the whole gang.
+  if (Fields.m_Spec.m_Steps[Value.m_Step].m_Gang)
+    for (Task &Each : In.m_Tasks)
+      Each.m_Phase = TaskPhase::Done;
+  else
+    In.m_Tasks[Value.m_Index].m_Phase = TaskPhase::Done;
+  bool All = std::all_of(Fields.m_Steps.begin(), Fields.m_Steps.end(), isDone);
+  if (All && Fields.m_Phase == Phase::Active)
+    finish(Fields, Phase::Completed, Now);
+}
+
+static void countFailure(WorkflowFields &Fields, const End &Value,
+                         core::Time Now) {
+  Step &In = Fields.m_Steps[Value.m_Step];
+  const StepSpec &Spec = Fields.m_Spec.m_Steps[Value.m_Step];
+  if (Spec.m_Lasting)
+    return;
+  std::uint32_t Failures = 0;
+  if (Spec.m_Gang) {
+    if (In.m_LastFailedRun < Value.m_Run)
+      ++In.m_GangFailures;
+    In.m_LastFailedRun = std::max(In.m_LastFailedRun, Value.m_Run);
+    Failures = In.m_GangFailures;
+  } else {
+    Failures = ++In.m_Tasks[Value.m_Index].m_Failures;
+  }
+  if (Failures >= Fields.m_Spec.m_Terms.m_MaxAttempts &&
+      Fields.m_Phase == Phase::Active)
+    finish(Fields, Phase::Failed, Now);
+}
+
+static void change(WorkflowFields &Fields, const End &Value, core::Time Now) {
+  Step &In = Fields.m_Steps[Value.m_Step];
+  Task &Ended = In.m_Tasks[Value.m_Index];
+  // An earlier run, or one whose end is known.
+  if (Ended.m_Phase != TaskPhase::Assigned || Ended.m_Run != Value.m_Run)
+    return;
+  const StepSpec &Spec = Fields.m_Spec.m_Steps[Value.m_Step];
+  Ended.m_Phase = TaskPhase::Waiting;
+  save(In, Spec, Value.m_Index, Value.m_Saved);
+  if (Value.m_How == RunEnd::Done && !Spec.m_Lasting)
+    succeed(Fields, Value, Now);
+  else if (Value.m_How == RunEnd::Failed)
+    countFailure(Fields, Value, Now);
+}
+
+static void change(WorkflowFields &Fields, const Cancel &, core::Time Now) {
+  if (Fields.m_Phase == Phase::Active)
+    finish(Fields, Phase::Cancelled, Now);
+}
+
+Workflow next(Workflow Before, const Input &Value, core::Time Now) {
+  WorkflowFields Fields = std::move(Before).fields();
+  std::visit([&](const auto &Typed) { change(Fields, Typed, Now); }, Value);
+  return Workflow::restore(std::move(Fields));
+}
+
+const char *toString(Phase Value) noexcept {
+  switch (Value) {
+  case Phase::Active:
+    return "active";
+  case Phase::Completed:
+    return "completed";
+  case Phase::Failed:
+    return "failed";
+  case Phase::Cancelled:
+    return "cancelled";
+  }
+  return "active";
+}
+
+const char *toString(RunEnd Value) noexcept {
+  switch (Value) {
+  case RunEnd::Done:
+    return "done";
+  case RunEnd::Failed:
+    return "failed";
+  case RunEnd::Interrupted:
+    return "interrupted";
+  }
+  return "interrupted";
+}
+
+} // namespace fireflydrift::workflow
--- /dev/null
+++ b/packages/workflow/workflow.h
@@ -0,0 +1,196 @@
+// The workflow aggregate: a job of steps from its acceptance to its outcome.
+//
+// Each task has numbered runs. A run is assigned to one life of one target and
+// ends exactly once; only then may the task, or the whole gang that it belongs
+// to, run again under a higher number.
+#ifndef FIREFLYDRIFT_WORKFLOW_WORKFLOW_H
+#define FIREFLYDRIFT_WORKFLOW_WORKFLOW_H
+
+#include "workflow/spec.h"
+
+#include <variant>
+
+namespace fireflydrift::workflow {
+
+// ---- Names -----------------------------------------------------------------
+
+// One task of one step of a workflow.
+struct TaskKey {
+  core::RequestId m_Workflow;
+  std::uint32_t m_Step = 0;
+  std::uint32_t m_Index = 0;
+
+  friend bool operator==(const TaskKey &, const TaskKey &) = default;
+  friend auto operator<=>(const TaskKey &, const TaskKey &) = default;
+};
+
+// One life of a target: what it was before a restart is another one.
+struct TargetLife {
+  core::TargetId m_Target;
+  std::uint64_t m_Incarnation = 0;
+
+  friend bool operator==(const TargetLife &, const TargetLife &) = default;
+  friend auto operator<=>(const TargetLife &, const TargetLife &) = default;
+};
+
+[[nodiscard]] std::string toString(const TaskKey &Key);
+
+// ---- Tasks and steps -------------------------------------------------------
+
+enum class TaskPhase : std::uint8_t {
+  // Waits for its turn, for room, or for the rest of its gang.
+  Waiting,
+  // A run is assigned to a target and has not ended.
+  Assigned,
+  Done,
+};
+
+struct Task {
+  TaskPhase m_Phase = TaskPhase::Waiting;
+  // Highest run number given so far; zero before the first.
+  std::uint32_t m_Run = 0;
+  // Where the run is assigned, or was last.
+  TargetLife m_Where;
+  core::Time m_AssignedAt;
+  // Failed runs of this task; a gang counts its own.
+  std::uint32_t m_Failures = 0;
+  // Newest saved progress; empty for none.
+  std::string m_Saved;
+
+  friend bool operator==(const Task &, const Task &) = default;
+  friend auto operator<=>(const Task &, const Task &) = default;
+};
+
+struct Step {
+  std::vector<Task> m_Tasks;
+  // Failed runs of the gang, each counted once however many members failed.
+  std::uint32_t m_GangFailures = 0;
+  std::uint32_t m_LastFailedRun = 0;
+
+  friend bool operator==(const Step &, const Step &) = default;
+  friend auto operator<=>(const Step &, const Step &) = default;
+};
+
+// ---- Inputs ----------------------------------------------------------------
+
+// Assigns the next run of tasks of one step. A gang is assigned as a whole.
+struct Assign {
+  struct Place {
+    std::uint32_t m_Index = 0;
+    TargetLife m_Where;
+    friend bool operator==(const Place &, const Place &) = default;
+    friend auto operator<=>(const Place &, const Place &) = default;
+  };
+  std::uint32_t m_Step = 0;
+  std::uint32_t m_Run = 0;
+  std::vector<Place> m_Places;
+
+  friend bool operator==(const Assign &, const Assign &) = default;
+};
+
+enum class RunEnd : std::uint8_t {
+  Done,
+  // By its own fault or its target's; counts against the attempts.
+  Failed,
+  // Stopped, lost with its target, or never started; counts for nothing.
+  Interrupted,
+};
+
+struct End {
+  std::uint32_t m_Step = 0;
+  std::uint32_t m_Index = 0;
+  std::uint32_t m_Run = 0;
+  RunEnd m_How = RunEnd::Interrupted;
+  // Progress saved by the run; empty when it saved none.
+  std::string m_Saved;
+
+  friend bool operator==(const End &, const End &) = default;
+};
+
+struct Cancel {
+  friend bool operator==(const Cancel &, const Cancel &) = default;
+};
+
+using Input = std::variant<Assign, End, Cancel>;
+
+// ---- The workflow ----------------------------------------------------------
+
+enum class Phase : std::uint8_t { Active, Completed, Failed, Cancelled };
+
+// The stored form of a workflow.
+struct WorkflowFields {
+  WorkflowSpec m_Spec;
+  Phase m_Phase = Phase::Active;
+  std::vector<Step> m_Steps;
+  core::Time m_AcceptedAt;
+  core::Time m_FinishedAt;
+  // True once any run was assigned.
+  bool m_Begun = false;
+
+  friend bool operator==(const WorkflowFields &,
+                         const WorkflowFields &) = default;
+  friend auto operator<=>(const WorkflowFields &,
+                          const WorkflowFields &) = default;
+};
+
+class Workflow {
+public:
+  Workflow() = default;
+  // Fails with InvalidInput or TooLarge when the specification breaks a rule.
+  [[nodiscard]] static core::Outcome<Workflow> create(WorkflowSpec Spec,
+                                                      core::Time Now);
+  // Rebuilds a workflow from its stored form.
+  [[nodiscard]] static Workflow restore(WorkflowFields Fields);
+
+  [[nodiscard]] const WorkflowFields &fields() const &noexcept {
+    return m_Fields;
+  }
+  [[nodiscard]] WorkflowFields &&fields() &&noexcept {
+    return std::move(m_Fields);
+  }
+  [[nodiscard]] const WorkflowSpec &spec() const noexcept {
+    return m_Fields.m_Spec;
+  }
+  [[nodiscard]] const core::RequestId &id() const noexcept {
+    return m_Fields.m_Spec.m_Id;
+  }
+  [[nodiscard]] Phase phase() const noexcept { return m_Fields.m_Phase; }
+  // The task, or nullptr when there is none of that number.
+  [[nodiscard]] const Task *find(std::uint32_t Step,
+                                 std::uint32_t Index) const noexcept;
+  // True when tasks of the step may be assigned: the workflow is active, the
+  // steps before are done, and no run of a gang is still out.
+  [[nodiscard]] bool isReady(std::uint32_t Step) const noexcept;
+  // True when the task's assigned run is to go on. A run of a finished
+  // workflow, or of a gang that has lost a member, is not.
+  [[nodiscard]] bool isWanted(std::uint32_t Step,
+                              std::uint32_t Index) const noexcept;
+  // The number for the next run of the step's waiting tasks; tasks that run
+  // one by one have numbers of their own.
+  [[nodiscard]] std::uint32_t nextRun(std::uint32_t Step,
+                                      std::uint32_t Index) const noexcept;
+
+  friend bool operator==(const Workflow &, const Workflow &) = default;
+
+private:
+  explicit Workflow(WorkflowFields Fields) noexcept
+      : m_Fields(std::move(Fields)) {}
+
+  WorkflowFields m_Fields;
+};
+
+// Why the input does not fit the workflow as it is; code None when it does. An
+// end of an earlier run, or a cancel of a finished workflow, fits and changes
+// nothing.
+[[nodiscard]] core::Reason refusal(const Workflow &Current, const Input &Value);
+
+// The workflow after an input that is not refused.
+[[nodiscard]] Workflow next(Workflow Before, const Input &Value,
+                            core::Time Now);
+
+[[nodiscard]] const char *toString(Phase Value) noexcept;
+[[nodiscard]] const char *toString(RunEnd Value) noexcept;
+
+} // namespace fireflydrift::workflow
+
+#endif // FIREFLYDRIFT_WORKFLOW_WORKFLOW_H
--- a/packages/workspace/workspace.cpp
+++ b/packages/workspace/workspace.cpp
@@ -31,6 +31,8 @@
     return invalid("workspace", "must be a valid identifier");
   if (Spec.m_Quota < 0 || Spec.m_MayBorrow < 0)
     return invalid("quota", "must not be negative");
+  if (Spec.m_ReservedAccelerators < 0)
+    return invalid("reserved_accelerators", "must not be negative");
   if (Spec.m_Weight == 0 || Spec.m_Weight > MaxWeight)
     return invalid("weight", "must be 1 to 1000");
   if (Spec.m_Guarantees.size() > MaxGuarantees)
--- a/packages/workspace/workspace.h
+++ b/packages/workspace/workspace.h
@@ -41,6 +41,10 @@
   // Share in the order of service, relative to other workspaces.
   std::uint32_t m_Weight = 1;
   std::vector<Guarantee> m_Guarantees;
+  // Accelerators that belong at all times to its workflows of priority zero.
+  std::int64_t m_ReservedAccelerators = 0;
+  // Keys that its callers may use.
+  std::vector<std::string> m_Keys;
 
   friend bool operator==(const WorkspaceSpec &,
                          const WorkspaceSpec &) = default;
