Promote learners under load, take silent links out of a running loop, break ties in elections

Now the silent connections are listed first. - The wiped replica was a learner from 11.3 s on and a voter only at 22.3 s: learners were looked at together with heartbeats, and proposals that come faster than heartbeats put these off. Ruled out: the transfer of the log (caught up at 11.2 s, by a trial with the replies logged). - Both followers stood at 16.1 s and split the vote twice, leader at 18.8 s. A candidate that asks at the same moment now lets the lower id go first. - A long frame on a slow link counted as silence; progress is told now. - A voter retired while it slept presents itself again.

--- a/packages/membership/membership.cpp
+++ b/packages/membership/membership.cpp
@@ -72,6 +72,16 @@
          Now - Known->m_LastFrame >= Options.m_SuspectAfter;
 }
 
+std::vector<core::VmId>
+Membership::silentConnections(core::Time Now,
+                              const DetectionOptions &Options) const {
+  std::vector<core::VmId> Silent;
+  for (const auto &[Vm, Known] : m_Contacts)
+    if (Vm != m_Self && connectionIsSilent(Vm, Now, Options))
+      Silent.push_back(Vm);
+  return Silent;
+}
+
 core::VmId Membership::leader(core::Time Now,
                               const DetectionOptions &Options) const {
   const Contact *Best = nullptr;
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -100,6 +100,10 @@
   [[nodiscard]] bool connectionIsSilent(const core::VmId &Vm, core::Time Now,
                                         const DetectionOptions &Options) const;
 
+  // VMs whose connections are silent though they are not.
+  [[nodiscard]] std::vector<core::VmId>
+  silentConnections(core::Time Now, const DetectionOptions &Options) const;
+
   // The leader of the highest term that any VM heard within the time names.
   [[nodiscard]] core::VmId leader(core::Time Now,
                                   const DetectionOptions &Options) const;
--- a/packages/replica/replica.cpp
+++ b/packages/replica/replica.cpp
@@ -318,6 +318,7 @@
   Replica &Self = W.m_Replica;
   Self.m_Role = Role::Candidate;
   Self.m_PreVoting = true;
+  Self.m_PreVotingSince = W.m_Now;
   Self.m_Leader = {};
   Self.m_Votes = {Self.m_Self};
   delayElection(W);
@@ -327,6 +328,18 @@
     askForVotes(W, false);
 }
 
+// Of two candidates that ask each other at once and have the same log, the one
+// with the lower id goes first. Otherwise each would vote for itself, and the
+// term would end without a leader.
+static bool goesFirst(const Replica &Self, const core::VmId &From,
+                      const VoteRequest &Asked, core::Time Now) {
+  bool Asking =
+      Self.m_Role == Role::Candidate && Self.m_PreVoting &&
+      Now - Self.m_PreVotingSince < Self.m_Options.m_ElectionTimeout / 2;
+  return Asking && Asked.m_LastIndex == Self.m_Log.lastIndex() &&
+         Asked.m_LastTerm == Self.m_Log.lastTerm() && Self.m_Self < From;
+}
+
 static void handle(Work &W, const core::VmId &From, const VoteRequest &Asked) {
   Replica &Self = W.m_Replica;
   auto Reply = [&](bool Granted) {
@@ -348,7 +361,8 @@
                   (Asked.m_LastTerm == Self.m_Log.lastTerm() &&
                    Asked.m_LastIndex >= Self.m_Log.lastIndex());
   if (Asked.m_PreVote)
-    return Reply(UpToDate && Asked.m_Term > Self.m_Hard.m_Term);
+    return Reply(UpToDate && Asked.m_Term > Self.m_Hard.m_Term &&
+                 !goesFirst(Self, From, Asked, W.m_Now));
   if (Asked.m_Term > Self.m_Hard.m_Term)
     becomeFollower(W, Asked.m_Term, {});
   bool Free = Self.m_Hard.m_VotedFor.empty() || Self.m_Hard.m_VotedFor == From;
@@ -572,13 +586,8 @@
 
 // ---- Inputs ----------------------------------------------------------------
 
-static void tickBlank(Work &W) {
+static void sayHello(Work &W) {
   Replica &Self = W.m_Replica;
-  if (Self.m_Configured.size() <= 1)
-    foundIfAllBlank(W);
-  if (W.m_Now - Self.m_LastHeartbeat < Self.m_Options.m_Heartbeat)
-    return;
-  Self.m_LastHeartbeat = W.m_Now;
   for (const core::VmId &Vm : Self.m_Configured)
     if (Vm != Self.m_Self)
       send(W, Vm,
@@ -587,6 +596,16 @@
                  .m_FailureDomain = Self.m_FailureDomain});
 }
 
+static void tickBlank(Work &W) {
+  Replica &Self = W.m_Replica;
+  if (Self.m_Configured.size() <= 1)
+    foundIfAllBlank(W);
+  if (W.m_Now - Self.m_LastHeartbeat < Self.m_Options.m_Heartbeat)
+    return;
+  Self.m_LastHeartbeat = W.m_Now;
+  sayHello(W);
+}
+
 static void tickLeader(Work &W) {
   Replica &Self = W.m_Replica;
   bool Settled =
@@ -595,11 +614,11 @@
     becomeFollower(W, Self.m_Hard.m_Term, {});
     return;
   }
-  if (W.m_Now - Self.m_LastHeartbeat >= Self.m_Options.m_Heartbeat) {
+  if (W.m_Now - Self.m_LastHeartbeat >= Self.m_Options.m_Heartbeat)
     sendAppends(W);
-    promoteLearner(W);
-    retireLostVoter(W);
-  }
+  // Proposals count as heartbeats, so these must not wait for one.
+  promoteLearner(W);
+  retireLostVoter(W);
 }
 
 static void handle(Work &W, const Tick &) {
@@ -608,8 +627,16 @@
     return tickBlank(W);
   if (Self.m_Role == Role::Leader)
     return tickLeader(W);
-  if (W.m_Now >= Self.m_ElectionDeadline && members(Self).isVoter(Self.m_Self))
+  if (W.m_Now < Self.m_ElectionDeadline)
+    return;
+  // A leader that does not know this replica may have retired it while it
+  // slept; presenting itself brings it back.
+  if (Self.m_Join.m_Open)
+    sayHello(W);
+  if (members(Self).isVoter(Self.m_Self))
     startPreVote(W);
+  else
+    delayElection(W);
 }
 
 static void handle(Work &W, const Received &Value) {
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -22,7 +22,8 @@
   // Part of the election timeout, in percent, that the leader's lease leaves
   // unused because clocks drift.
   std::uint32_t m_DriftPercent = 10;
-  std::size_t m_MaxAppendBytes = 1 << 20;
+  // Small enough that a slow link passes it within a heartbeat or two.
+  std::size_t m_MaxAppendBytes = std::size_t{64} << 10U;
   std::uint64_t m_Seed = 0;
   DurabilityRule m_Rule;
 
@@ -100,6 +101,7 @@
   core::Time m_HeardLeaderAt;
   core::Time m_ElectionDeadline;
   bool m_PreVoting = false;
+  core::Time m_PreVotingSince;
   std::set<core::VmId> m_Votes;
 
   // Meaningful while leading.
--- a/packages/runtime/events.cpp
+++ b/packages/runtime/events.cpp
@@ -61,6 +61,7 @@
       {Event::ConnectionSilent, Severity::Warning, "connection_silent"},
       {Event::VmLiveness, Severity::Warning, "vm_liveness"},
       {Event::MessageRefused, Severity::Warning, "message_refused"},
+      {Event::ReplicasChanged, Severity::Info, "replicas_changed"},
   };
   return Events;
 }
--- a/packages/runtime/events.h
+++ b/packages/runtime/events.h
@@ -54,6 +54,7 @@
   ConnectionSilent = 4009,
   VmLiveness = 4010,
   MessageRefused = 4011,
+  ReplicasChanged = 4012,
 };
 
 enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -4,6 +4,7 @@
 #include "runtime/events.h"
 #include "runtime/h2o_api.h"
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <deque>
@@ -16,6 +17,9 @@
 static constexpr std::size_t FrameHeader = sizeof(std::uint32_t);
 // Sent back for each frame that arrived.
 static constexpr char AckByte = '\x06';
+// Sent back while part of a long frame has arrived: it takes its time, but the
+// connection is not silent.
+static constexpr char ProgressByte = '\x16';
 static constexpr std::size_t MaxDatagram = 1400;
 
 namespace {
@@ -30,6 +34,8 @@
   std::string m_Queue;
   // When each frame that is not acknowledged yet was queued.
   std::deque<core::Time> m_Unacknowledged;
+  // When the other end last sent anything back.
+  core::Time m_HeardAt;
   core::Time m_OpenedAt;
   core::Time m_RetryAt;
   LinkTraffic m_Traffic;
@@ -45,6 +51,7 @@
   bool m_Writing = false;
   std::string m_InWrite;
   std::size_t m_AcksDue = 0;
+  bool m_ProgressDue = false;
   // Set when the stream can't be read any further while a write goes on.
   bool m_Broken = false;
 };
@@ -120,8 +127,11 @@
     closeOutgoing(Peer, core::Duration(0));
     return;
   }
-  std::size_t Acks =
-      std::min(Socket->input->size, Peer.m_Unacknowledged.size());
+  const char *Bytes = Socket->input->bytes;
+  auto Sent = static_cast<std::size_t>(
+      std::count(Bytes, Bytes + Socket->input->size, AckByte));
+  std::size_t Acks = std::min(Sent, Peer.m_Unacknowledged.size());
+  Peer.m_HeardAt = Peer.m_Loop->now();
   Peer.m_Traffic.m_BytesIn += Socket->input->size;
   h2o_buffer_consume(&Socket->input, Socket->input->size);
   Peer.m_Unacknowledged.erase(Peer.m_Unacknowledged.begin(),
@@ -181,9 +191,12 @@
 }
 
 static void writeAcks(Incoming &From) {
-  if (From.m_Writing || From.m_AcksDue == 0)
+  bool Progress = std::exchange(From.m_ProgressDue, false);
+  if (From.m_Writing || (From.m_AcksDue == 0 && !Progress))
     return;
   From.m_InWrite.assign(std::exchange(From.m_AcksDue, 0), AckByte);
+  if (From.m_InWrite.empty())
+    From.m_InWrite.assign(1, ProgressByte);
   From.m_Writing = true;
   h2o_iovec_t Buffer =
       h2o_iovec_init(From.m_InWrite.data(), From.m_InWrite.size());
@@ -199,8 +212,10 @@
     std::memcpy(&Length, Socket->input->bytes, FrameHeader);
     if (Length > messages::MaxEncodedBytes)
       return false;
-    if (Socket->input->size < FrameHeader + Length)
+    if (Socket->input->size < FrameHeader + Length) {
+      From.m_ProgressDue = true;
       return true;
+    }
     auto Decoded = messages::decodeEnvelope(
         std::string_view(Socket->input->bytes + FrameHeader, Length));
     if (!Decoded) {
@@ -388,8 +403,10 @@
     bool Connecting = Peer.m_Socket && !Peer.m_Connected;
     if (Connecting && Now - Peer.m_OpenedAt >= Options.m_ConnectTimeout)
       closeOutgoing(Peer, Options.m_ReconnectAfter);
-    bool Silent = Peer.m_Connected && !Peer.m_Unacknowledged.empty() &&
-                  Now - Peer.m_Unacknowledged.front() >= Options.m_SilentAfter;
+    bool Silent =
+        Peer.m_Connected && !Peer.m_Unacknowledged.empty() &&
+        Now - std::max(Peer.m_Unacknowledged.front(), Peer.m_HeardAt) >=
+            Options.m_SilentAfter;
     if (Silent)
       renew(Vm);
     if (!Peer.m_Socket)
--- a/packages/runtime/links.h
+++ b/packages/runtime/links.h
@@ -11,8 +11,8 @@
 namespace fireflydrift::runtime {
 
 struct LinkOptions {
-  // A frame that the other end did not acknowledge for this long means that
-  // the connection has gone silent; a fresh one is opened.
+  // A frame waits for its acknowledgement and nothing at all came back for this
+  // long: the connection has gone silent, and a fresh one is opened.
   core::Duration m_SilentAfter{1500};
   core::Duration m_ConnectTimeout{1000};
   core::Duration m_ReconnectAfter{200};
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -43,6 +43,12 @@
 
 // ---- Starting --------------------------------------------------------------
 
+// With so many voters the rest still has a majority after the losses.
+static std::uint32_t votersFor(const Settings &Values) {
+  constexpr std::uint32_t Least = 3;
+  return std::max(Least, 2 * Values.m_ToleratedLosses + 1);
+}
+
 static ReplicaHostOptions replicaOptions(const Settings &Values) {
   bool Open = !Values.m_Seeds.empty();
   std::set<core::VmId> Replicas;
@@ -68,7 +74,7 @@
                          .m_Configured = std::move(Replicas),
                          .m_Join = {.m_MayFound = Values.m_MayFound,
                                     .m_Open = Open,
-                                    .m_Voters = Values.m_Voters}},
+                                    .m_Voters = votersFor(Values)}},
           .m_Replica = Values.m_Replica,
           .m_NewIncarnation = Incarnation};
 }
@@ -343,6 +349,20 @@
   m_LeaderHost.onApplied(Index, Result, m_Replica->state(), now());
 }
 
+void Node::logReplicas(const replica::Members &Now) {
+  if (Now == m_LoggedReplicas)
+    return;
+  m_LoggedReplicas = Now;
+  std::string Voters;
+  std::string Learners;
+  for (const auto &[Vm, Value] : Now.all()) {
+    std::string &Into = Value.m_Voter ? Voters : Learners;
+    Into += (Into.empty() ? "" : ",") + Vm.text();
+  }
+  logEvent(Event::ReplicasChanged,
+           {{"voters", Voters}, {"learners", Learners}});
+}
+
 void Node::followRole(core::Time Now) {
   const replica::Replica &Self = m_Replica->replica();
   if (Self.m_Role != m_LastRole || Self.m_Leader != m_LastLeader) {
@@ -352,6 +372,7 @@
                                   {"term", std::to_string(Self.m_Hard.m_Term)},
                                   {"leader", Self.m_Leader.text()}});
   }
+  logReplicas(Self.m_Log.membersAt(Self.m_Commit));
   bool Leads = replica::holdsLease(Self, Now);
   if (Leads && !m_LeaderHost.isLeading())
     m_LeaderHost.begin(m_Replica->state(), Self.m_Hard.m_Term, Now);
@@ -432,13 +453,20 @@
     if (Vm == m_Settings.m_Self.m_Id)
       continue;
     m_Links.sendBeat(Vm, Value);
-    // Silence is a fact about a connection before it is one about a VM.
+  }
+  renewSilentConnections(Now);
+}
+
+// Silence is a fact about a connection before it is one about a VM.
+void Node::renewSilentConnections(core::Time Now) {
+  for (const core::VmId &Vm :
+       m_Membership.silentConnections(Now, m_Detection)) {
     bool Expected = m_Replica && m_Replica->replica().m_Leader == Vm;
-    if (Expected && m_Membership.connectionIsSilent(Vm, Now, m_Detection)) {
-      logEvent(Event::ConnectionSilent, {{"vm", Vm.text()}});
-      m_Links.renew(Vm);
-      m_Membership = m_Membership.heardFrame(Vm, Now);
-    }
+    if (!Expected)
+      continue;
+    logEvent(Event::ConnectionSilent, {{"vm", Vm.text()}});
+    m_Links.renew(Vm);
+    m_Membership = m_Membership.heardFrame(Vm, Now);
   }
 }
 
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -70,6 +70,8 @@
   void turnBeats(core::Time Now);
   void refreshConfiguration(core::Time Now);
   void logLiveness(core::Time Now);
+  void logReplicas(const replica::Members &Now);
+  void renewSilentConnections(core::Time Now);
   void forgetSilentVms(core::Time Now);
   [[nodiscard]] std::vector<core::VmId> knownReplicas() const;
 
@@ -91,6 +93,7 @@
   bool m_ReadingConfiguration = false;
   replica::Role m_LastRole = replica::Role::Blank;
   core::VmId m_LastLeader;
+  replica::Members m_LoggedReplicas;
   std::map<core::VmId, membership::Liveness> m_LastLiveness;
   core::Time m_TickAt;
   core::Time m_BeatAt;
--- a/packages/runtime/poll_host.cpp
+++ b/packages/runtime/poll_host.cpp
@@ -156,6 +156,17 @@
   m_News = m_News || !Result.m_WorkflowChanges.empty();
 }
 
+static void logAssignment(const control::AssignTasks &Value) {
+  std::string Targets;
+  for (const auto &Each : Value.m_Assign.m_Places)
+    Targets += (Targets.empty() ? "" : ",") + Each.m_Where.m_Target.text();
+  logEvent(Event::TasksAssigned,
+           {{"id", Value.m_Workflow.text()},
+            {"step", std::to_string(Value.m_Assign.m_Step)},
+            {"run", std::to_string(Value.m_Assign.m_Run)},
+            {"targets", Targets}});
+}
+
 bool PollHost::turn(const control::State &State, bool MayPass, core::Time Now) {
   if (!m_Polling)
     return false;
@@ -167,6 +178,9 @@
                                    {"run", std::to_string(Each.m_Run)},
                                    {"for", Each.m_For.text()}});
   m_News = m_News || !Next.m_Displacements.empty();
+  for (const control::Command &Each : Next.m_Commands)
+    if (const auto *Assigned = std::get_if<control::AssignTasks>(&Each))
+      logAssignment(*Assigned);
   bool Proposed = !Next.m_Commands.empty();
   m_Propose(std::move(Next.m_Commands));
   answerHeld(State, Now);
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -157,9 +157,10 @@
       {{"discovery", "first_start",
         "True while the system starts for the first time; false later"},
        boolean(PART(m_MayFound))},
-      {{"discovery", "voters",
-        "Voting replicas to keep; further ones replace lost ones"},
-       number<std::uint32_t>(PART(m_Voters), 1, 9)},
+      {{"discovery", "tolerated_losses",
+        "Replicas that may be lost at once; beyond twice as many and one, "
+        "lost ones are replaced"},
+       number<std::uint32_t>(PART(m_ToleratedLosses), 0, 4)},
       {{"listen", "callers", "Address for an environment's own callers"},
        listenAddress(PART(m_Listen.m_Callers))},
       {{"listen", "readiness", "Address for an environment's readiness checks"},
--- a/packages/runtime/settings.h
+++ b/packages/runtime/settings.h
@@ -38,7 +38,7 @@
   std::vector<std::string> m_Seeds;
   // False once the system has been started: then a blank folder only joins.
   bool m_MayFound = true;
-  std::uint32_t m_Voters = 3;
+  std::uint32_t m_ToleratedLosses = 1;
   ListenAddresses m_Listen;
   // Empty on a VM without a disk of its own.
   std::string m_DataFolder;
--- /dev/null
+++ b/tests/assignment/pass_test.cpp
@@ -0,0 +1,222 @@
+#include "assignment/pass.h"
+
+#include <gtest/gtest.h>
+#include <list>
+
+using namespace fireflydrift;
+using namespace fireflydrift::assignment;
+using workflow::StepSpec;
+using workflow::Workflow;
+
+static core::Time at(core::Duration::rep Ms) { return core::timeFromMs(Ms); }
+
+namespace {
+
+// Rooms in racks of two, and workflows of one step.
+class Pass : public testing::Test {
+protected:
+  void addRoom(const char *Id, const char *Rack, core::Capacity Free) {
+    m_Rooms.push_back({.m_Life = {core::TargetId(Id), 1},
+                       .m_Pool = "pool",
+                       .m_Rack = Rack,
+                       .m_Total = {8, 64000, 256000},
+                       .m_Free = Free});
+  }
+  void addEmptyRacks(int Racks) {
+    for (int I = 0; I < Racks; ++I)
+      for (const char *Part : {"a", "b"}) {
+        m_Names.push_back(Part + std::to_string(I));
+        addRoom(m_Names.back().c_str(), ("r" + std::to_string(I)).c_str(),
+                {8, 64000, 256000});
+      }
+  }
+  const Workflow &add(const char *Id, StepSpec Step, std::uint32_t Priority,
+                      core::Duration::rep AcceptedMs = 0) {
+    auto Created =
+        Workflow::create({.m_Id = core::RequestId(Id),
+                          .m_Terms = {.m_Pool = "pool",
+                                      .m_Priority = Priority,
+                                      .m_SlackPercent = 200,
+                                      .m_TargetLatency = core::Duration(1000)},
+                          .m_Steps = {std::move(Step)}},
+                         at(AcceptedMs));
+    EXPECT_TRUE(Created);
+    m_Workflows.push_back(*std::move(Created));
+    return m_Workflows.back();
+  }
+  // Puts a running task of the workflow in a room.
+  void occupy(std::size_t Room, const Workflow &Of, std::uint32_t Index,
+              core::Duration Unsaved) {
+    const StepSpec &Step = Of.spec().m_Steps[0];
+    m_Rooms[Room].m_Free = m_Rooms[Room].m_Free - Step.m_PerTask;
+    m_Rooms[Room].m_Occupants.push_back(
+        {.m_Task = {.m_Workflow = Of.id(), .m_Index = Index},
+         .m_Run = 1,
+         .m_Capacity = Step.m_PerTask,
+         .m_Priority = Of.spec().m_Terms.m_Priority,
+         .m_ExpectedEnd = at(5000),
+         .m_Unsaved = Unsaved,
+         .m_Gang = Step.m_Gang});
+  }
+  [[nodiscard]] static Demand demand(const Workflow &Of) {
+    const StepSpec &Step = Of.spec().m_Steps[0];
+    Demand Value{.m_Workflow = &Of,
+                 .m_RunTime = Step.m_RunTime,
+                 .m_Remaining = Step.m_RunTime};
+    for (std::uint32_t I = 0; I < Step.m_Tasks; ++I)
+      Value.m_Waiting.push_back(I);
+    return Value;
+  }
+  PassResult run(std::vector<Demand> Demands, PassOptions Options = {}) {
+    return runPass(m_Rooms, std::move(Demands), Options, at(0));
+  }
+  static std::set<std::string> targets(const Assignment &Value) {
+    std::set<std::string> Found;
+    for (const auto &Each : Value.m_Assign.m_Places)
+      Found.insert(Each.m_Where.m_Target.text());
+    return Found;
+  }
+
+  std::vector<Room> m_Rooms;
+  std::list<Workflow> m_Workflows;
+  std::list<std::string> m_Names;
+};
+
+} // namespace
+
+static StepSpec gang(std::uint32_t Tasks, std::int64_t Accelerators) {
+  return {.m_Tasks = Tasks,
+          .m_PerTask = {Accelerators, 1000, 1000},
+          .m_RunTime = core::Duration(2000),
+          .m_Gang = true,
+          .m_OneRack = true};
+}
+
+TEST_F(Pass, AGangStaysInOneRack) {
+  addRoom("a0", "r0", {8, 64000, 256000});
+  addRoom("a1", "r1", {4, 64000, 256000});
+  addRoom("b1", "r1", {8, 64000, 256000});
+  PassResult Out = run({demand(add("w", gang(3, 4), 1))});
+  ASSERT_EQ(Out.m_Assignments.size(), 1U);
+  EXPECT_EQ(targets(Out.m_Assignments[0]), (std::set<std::string>{"a1", "b1"}));
+}
+
+TEST_F(Pass, AGangWaitsForARackRatherThanRunSpread) {
+  addRoom("a0", "r0", {4, 64000, 256000});
+  addRoom("a1", "r1", {4, 64000, 256000});
+  PassResult Out = run({demand(add("w", gang(2, 4), 1))});
+  EXPECT_TRUE(Out.m_Assignments.empty());
+  EXPECT_EQ(Out.m_Waiting, 1U);
+}
+
+TEST_F(Pass, AGangLargerThanEveryRackIsSpread) {
+  addEmptyRacks(2);
+  PassResult Out = run({demand(add("w", gang(4, 8), 1))});
+  ASSERT_EQ(Out.m_Assignments.size(), 1U);
+  EXPECT_EQ(targets(Out.m_Assignments[0]).size(), 4U);
+}
+
+TEST_F(Pass, SingleTasksRunAsFarAsThereIsRoom) {
+  addRoom("a0", "r0", {3, 64000, 256000});
+  StepSpec Step{.m_Tasks = 5, .m_PerTask = {1, 1000, 1000}};
+  PassResult Out = run({demand(add("w", Step, 1))});
+  ASSERT_EQ(Out.m_Assignments.size(), 1U);
+  EXPECT_EQ(Out.m_Assignments[0].m_Assign.m_Places.size(), 3U);
+}
+
+TEST_F(Pass, MemoryAndProcessorsBindAsWell) {
+  addEmptyRacks(1);
+  StepSpec Step{.m_Tasks = 4, .m_PerTask = {1, 1000, 140000}};
+  PassResult Out = run({demand(add("w", Step, 1))});
+  ASSERT_EQ(Out.m_Assignments.size(), 1U);
+  EXPECT_EQ(Out.m_Assignments[0].m_Assign.m_Places.size(), 2U);
+}
+
+TEST_F(Pass, ALimitATargetCountsWhatRunsThere) {
+  addEmptyRacks(1);
+  StepSpec Step{
+      .m_Tasks = 4, .m_PerTask = {1, 1000, 1000}, .m_MaxPerTarget = 2};
+  const Workflow &Of = add("w", Step, 1);
+  occupy(0, Of, 3, core::Duration(0));
+  Demand Rest = demand(Of);
+  Rest.m_Waiting = {0, 1, 2};
+  PassResult Out = run({Rest});
+  ASSERT_EQ(Out.m_Assignments.size(), 1U);
+  std::map<std::string, int> Count;
+  for (const auto &Each : Out.m_Assignments[0].m_Assign.m_Places)
+    ++Count[Each.m_Where.m_Target.text()];
+  EXPECT_EQ(Count["a0"], 1);
+  EXPECT_EQ(Count["b0"], 2);
+}
+
+TEST_F(Pass, UrgentWorkStopsTheCheapestGangThatHelps) {
+  addEmptyRacks(2);
+  const Workflow &Young = add("young", gang(2, 8), 2);
+  const Workflow &Old = add("old", gang(2, 8), 2);
+  for (std::uint32_t I = 0; I < 2; ++I) {
+    occupy(I, Old, I, core::Duration(9000));
+    occupy(2 + I, Young, I, core::Duration(100));
+  }
+  PassResult Out = run({demand(add("urgent", gang(1, 4), 0))});
+  EXPECT_TRUE(Out.m_Assignments.empty());
+  // A gang is stopped as a whole, though one target would do.
+  ASSERT_EQ(Out.m_Displacements.size(), 2U);
+  for (const Displacement &Each : Out.m_Displacements)
+    EXPECT_EQ(Each.m_Task.m_Workflow, Young.id());
+}
+
+TEST_F(Pass, UrgentWorkWaitsForWhatIsBeingStoppedAlready) {
+  addEmptyRacks(1);
+  const Workflow &Other = add("other", gang(1, 8), 2);
+  occupy(0, Other, 0, core::Duration(100));
+  m_Rooms[1].m_Free = {};
+  m_Rooms[1].m_Coming = {8, 64000, 256000};
+  PassResult Out = run({demand(add("urgent", gang(1, 8), 0))});
+  EXPECT_TRUE(Out.m_Displacements.empty());
+}
+
+TEST_F(Pass, UrgentWorkNeverStopsUrgentWork) {
+  addEmptyRacks(1);
+  const Workflow &Other = add("other", gang(2, 8), 0);
+  occupy(0, Other, 0, core::Duration(100));
+  occupy(1, Other, 1, core::Duration(100));
+  EXPECT_TRUE(
+      run({demand(add("urgent", gang(1, 8), 0))}).m_Displacements.empty());
+}
+
+TEST_F(Pass, RoomIsHeldForALargeGangAgainstASmallOneThatWouldOutlastIt) {
+  addEmptyRacks(1);
+  const Workflow &Running = add("running", gang(1, 8), 1);
+  occupy(0, Running, 0, core::Duration(0));
+  const Workflow &Large = add("large", gang(2, 8), 1);
+  StepSpec Long = gang(1, 1);
+  Long.m_RunTime = core::Duration(60000);
+  const Workflow &Small = add("small", Long, 2, 1);
+  EXPECT_TRUE(run({demand(Large), demand(Small)}).m_Assignments.empty());
+  StepSpec Short = gang(1, 1);
+  Short.m_RunTime = core::Duration(1000);
+  const Workflow &Quick = add("quick", Short, 2, 1);
+  EXPECT_EQ(run({demand(Large), demand(Quick)}).m_Assignments.size(), 1U);
+}
+
+TEST_F(Pass, WhatCanStillMeetItsObjectiveGoesBeforeWhatIsLate) {
+  addRoom("a0", "r0", {8, 64000, 256000});
+  const Workflow &Late = add("late", gang(1, 8), 1, -10000);
+  const Workflow &InTime = add("in-time", gang(1, 8), 1, 0);
+  PassResult Out = run({demand(Late), demand(InTime)});
+  ASSERT_EQ(Out.m_Assignments.size(), 1U);
+  EXPECT_EQ(Out.m_Assignments[0].m_Workflow, InTime.id());
+  Out = run({demand(Late), demand(InTime)}, {.m_Order = orderByArrival});
+  ASSERT_EQ(Out.m_Assignments.size(), 1U);
+  EXPECT_EQ(Out.m_Assignments[0].m_Workflow, Late.id());
+}
+
+TEST_F(Pass, TasksKeepAwayFromWhereTheyFailed) {
+  addEmptyRacks(1);
+  m_Rooms[0].m_Free = {1, 64000, 256000};
+  Demand Again = demand(add("w", {.m_PerTask = {1, 1, 1}}, 1));
+  Again.m_FailedOn = {core::TargetId("a0")};
+  PassResult Out = run({Again});
+  ASSERT_EQ(Out.m_Assignments.size(), 1U);
+  EXPECT_EQ(targets(Out.m_Assignments[0]), (std::set<std::string>{"b0"}));
+}
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -87,3 +87,13 @@
   EXPECT_NE(Value.find(core::VmId("10.0.0.2")), nullptr);
   EXPECT_NE(Value.find(core::VmId("10.0.0.1")), nullptr);
 }
+
+TEST(Membership, ListsEverySilentConnection) {
+  core::VmId C("c");
+  Membership Value(A, {{.m_Id = A}, {.m_Id = B}, {.m_Id = C}});
+  for (const core::VmId &Vm : {B, C})
+    Value =
+        Value.heardFrame(Vm, at(0)).heardDatagram({.m_From = Vm}, at(10000));
+  EXPECT_EQ(Value.silentConnections(at(10100), {}),
+            (std::vector<core::VmId>{B, C}));
+}
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,133 @@
+#include "platform/codec.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+using namespace fireflydrift;
+using namespace fireflydrift::platform;
+
+static const std::string Beat =
+    R"({"service":"pool","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","coldRemainingMs":0,"capacity":{"cpu":16000,)"
+    R"("memoryLimitMb":32768,"gpu":8},"labels":["a","r1-3"],"born":1700,)"
+    R"("sequence":4,"running":[["5c0e.0.1.17",2,"0bb8",41,0]],)"
+    R"("ended":[[58,"5c0e.0.1.9",1,"lapsed",""]]})";
+
+static const std::string Manifest =
+    R"({"version":7,"routes":[{"name":"q","host":"h.example",)"
+    R"("pathPrefix":"/p/","kind":"non_idempotent","timeoutMs":3000,)"
+    R"("targetLatencyMs":4000,"priority":2,"service":"pool","maxAttempts":4,)"
+    R"("slackFactor":1.5,"public":false}],"services":[{"name":"pool"}],)"
+    R"("limits":{},"tenants":[{"name":"w","apiKeys":["k1","k2"],)"
+    R"("guaranteedGpus":{"gpu":72}}]})";
+
+static std::string replaced(std::string Text, const std::string &From,
+                            const std::string &To) {
+  auto At = Text.find(From);
+  EXPECT_NE(At, std::string::npos) << From;
+  return Text.replace(At, From.size(), To);
+}
+
+TEST(PlatformCodec, ReadsAJob) {
+  auto Job = decodeJob(
+      R"({"spec":"text","new":1,"steps":[{"count":4,"cpu":500,"gpu":2,)"
+      R"("memoryLimitMb":256,"estimatedMs":900,"gangScheduled":true,)"
+      R"("rackAffinity":true,"antiAffinity":2},)"
+      R"({"count":1,"dependencies":[0],"checkpointing":true}]})");
+  ASSERT_TRUE(Job) << core::toString(Job.reason());
+  ASSERT_EQ(Job->m_Steps.size(), 2U);
+  EXPECT_EQ(Job->m_Body, "text");
+  EXPECT_EQ(Job->m_Steps[0].m_PerTask, (core::Capacity{2, 500, 256}));
+  EXPECT_TRUE(Job->m_Steps[0].m_Gang && Job->m_Steps[0].m_OneRack);
+  EXPECT_EQ(Job->m_Steps[0].m_MaxPerTarget, 2U);
+  EXPECT_EQ(Job->m_Steps[1].m_After, std::vector<std::uint32_t>{0});
+}
+
+TEST(PlatformCodec, RefusesWhatIsNotBuiltYetAsNotAccepted) {
+  auto Job = decodeJob(R"({"steps":[{"count":1}],"repetitions":3})");
+  ASSERT_FALSE(Job);
+  EXPECT_EQ(Job.reason().m_Code, core::ReasonCode::Overloaded);
+}
+
+TEST(PlatformCodec, ReadsAReport) {
+  auto Report = decodeReport("i-1", Beat);
+  ASSERT_TRUE(Report) << core::toString(Report.reason());
+  EXPECT_EQ(Report->m_Incarnation, 1700U);
+  EXPECT_EQ(Report->m_Rack, "r1-3");
+  ASSERT_EQ(Report->m_Running.size(), 1U);
+  EXPECT_EQ(Report->m_Running[0].m_Task,
+            (workflow::TaskKey{core::RequestId("5c0e"), 1, 17}));
+  ASSERT_EQ(Report->m_Ended.size(), 1U);
+  EXPECT_EQ(Report->m_Ended[0].m_Cause, roster::EndCause::LeaseExpired);
+}
+
+TEST(PlatformCodec, RefusesReportsOfOtherWriters) {
+  for (const auto &[From, To] : std::map<std::string, std::string>{
+           {R"("born":1700,)", ""},
+           {R"("sequence":4)", R"("sequence":"4")"},
+           {R"("ready")", R"("sleeping")"},
+           {R"("labels":["a","r1-3"])", R"("labels":"a")"},
+           {R"(["5c0e.0.1.17",2,"0bb8",41,0])", R"(["5c0e.0.1.17",2])"},
+           {R"("lapsed")", R"("vanished")"},
+           {R"("gpu":8)", R"("gpu":-8)"}})
+    EXPECT_FALSE(decodeReport("i-1", replaced(Beat, From, To))) << From;
+  EXPECT_FALSE(decodeReport("i-1", "\xff\xfe{"));
+}
+
+TEST(PlatformCodec, ReadsAManifestAndKeepsItsText) {
+  auto Read = decodeManifest(Manifest);
+  ASSERT_TRUE(Read) << core::toString(Read.reason());
+  EXPECT_EQ(Read->m_Version, 7U);
+  EXPECT_EQ(Read->m_Document, Manifest);
+  ASSERT_EQ(Read->m_Queues.size(), 1U);
+  EXPECT_EQ(Read->m_Queues[0].m_SlackPercent, 150U);
+  EXPECT_EQ(Read->m_Workspaces.at(0).m_ReservedAccelerators, 72);
+  EXPECT_EQ(Read->m_Workspaces.at(0).m_Keys.size(), 2U);
+}
+
+TEST(PlatformCodec, RefusesInvalidManifests) {
+  for (const auto &[From, To] : std::map<std::string, std::string>{
+           {R"("timeoutMs":3000)", R"("timeoutMs":0)"},
+           {R"("service":"pool")", R"("service":"other")"},
+           {R"("version":7)", R"("version":0)"},
+           {R"("services":[{"name":"pool"}],)", ""},
+           {R"("host":"h.example",)", ""}})
+    EXPECT_FALSE(decodeManifest(replaced(Manifest, From, To))) << From;
+  EXPECT_FALSE(decodeManifest(Manifest.substr(0, Manifest.size() / 2)));
+}
+
+TEST(PlatformCodec, WritesOrders) {
+  roster::Orders Value{
+      .m_Fence = 3,
+      .m_Lease = core::Duration(6000),
+      .m_AcknowledgedThrough = 58,
+      .m_Starts = {{{core::RequestId("5c0e"), 1, 18}, 1, "text", ""}},
+      .m_Stops = {{{core::RequestId("5c0e"), 1, 17}, 2}}};
+  EXPECT_EQ(encodeOrders(Value, "10.0.0.1:80"),
+            R"({"ackedThrough":58,"fencingToken":3,)"
+            R"("heartbeatAddress":"10.0.0.1:80","holdMs":6000,)"
+            R"("start":[["5c0e.0.1.18",1,"text",""]],)"
+            R"("stop":[["5c0e.0.1.17",2]]})");
+}
+
+TEST(PlatformCodec, OrdersWithoutALeaseOrderNothing) {
+  EXPECT_EQ(encodeOrders(roster::Orders{.m_Fence = 3}, "a:1"),
+            R"({"heartbeatAddress":"a:1"})");
+}
+
+// Damaged bodies are refused or read, never worse.
+TEST(PlatformCodec, SurvivesDamagedBodies) {
+  std::minstd_rand Random(7);
+  constexpr int Rounds = 3000;
+  for (const std::string &Whole : {Beat, Manifest})
+    for (int I = 0; I < Rounds; ++I) {
+      std::string Text = Whole;
+      for (int Flips = 0; Flips < 1 + I % 3; ++Flips)
+        Text[Random() % Text.size()] = static_cast<char>(Random() % 256);
+      Text.resize(Text.size() - Random() % 3);
+      (void)decodeReport("i-1", Text);
+      (void)decodeManifest(Text);
+      (void)decodeJob(Text);
+      (void)decodeLeave(Text);
+    }
+}
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -304,6 +304,53 @@
   EXPECT_EQ(Now.voters().size(), 3U);
 }
 
+TEST(Replica, AVoterThatWasRetiredComesBack) {
+  Cluster All({.m_Join = {.m_MayFound = false, .m_Open = true}});
+  All.run(core::Duration(5000));
+  core::VmId Lost = All.leader()->m_Self;
+  All.crash(Lost);
+  All.addStranger(core::VmId("x"));
+  All.run(core::Duration(20000));
+  All.restart(Lost);
+  All.run(core::Duration(10000));
+  ASSERT_NE(All.leader(), nullptr);
+  const Replica &Leader = *All.leader();
+  EXPECT_TRUE(Leader.m_Log.membersAt(Leader.m_Commit).isVoter(Lost));
+}
+
+// Proposals that come faster than heartbeats once kept the leader from ever
+// looking at its learners.
+TEST(Replica, ALearnerIsPromotedUnderSteadyProposals) {
+  Cluster All({.m_Join = {.m_MayFound = false, .m_Open = true}});
+  All.run(core::Duration(5000));
+  core::VmId Leader = All.leader()->m_Self;
+  core::VmId Other =
+      *All.ids().begin() == Leader ? *All.ids().rbegin() : *All.ids().begin();
+  All.replaceDisk(Other);
+  for (int I = 0; I < 60; ++I) {
+    All.propose(Leader);
+    All.run(core::Duration(50));
+  }
+  const Replica &Now = All.at(Leader);
+  EXPECT_TRUE(Now.m_Log.membersAt(Now.m_Commit).isVoter(Other));
+}
+
+// Both followers of a lost leader time out at the same moment.
+TEST(Replica, TwoCandidatesAtOnceDoNotSplitTheVote) {
+  Cluster All({});
+  All.run(core::Duration(5000));
+  core::VmId Lost = All.leader()->m_Self;
+  std::uint64_t Term = All.leader()->m_Hard.m_Term;
+  All.crash(Lost);
+  All.deliverAll();
+  constexpr core::Duration Longest{2000};
+  All.advance(Longest);
+  All.tickAll();
+  All.deliverAll();
+  ASSERT_NE(All.leader(), nullptr);
+  EXPECT_EQ(All.leader()->m_Hard.m_Term, Term + 1);
+}
+
 TEST(Replica, ASleepingVoterKeepsItsPlaceWhileNoneHasTakenIt) {
   Cluster All({.m_Join = {.m_MayFound = false, .m_Open = true}});
   All.run(core::Duration(5000));
--- /dev/null
+++ b/tests/roster/roster_test.cpp
@@ -0,0 +1,87 @@
+#include "roster/roster.h"
+
+#include <gtest/gtest.h>
+
+using namespace fireflydrift;
+using namespace fireflydrift::roster;
+
+static core::Time at(core::Duration::rep Ms) { return core::timeFromMs(Ms); }
+
+static const core::TargetId Target("t");
+static const RosterOptions Options{.m_Lease = core::Duration(6000)};
+// The longest lease, its clock drift and the margin.
+static constexpr core::Duration LongestLease{6420};
+
+static Report report(std::uint64_t Incarnation, std::uint64_t Sequence,
+                     const char *Id = "t", const char *Address = "10.0.0.1:1") {
+  return {.m_Target = core::TargetId(Id),
+          .m_Incarnation = Incarnation,
+          .m_Sequence = Sequence,
+          .m_Address = Address};
+}
+
+static Roster heard(Roster Before, const Report &Value,
+                    core::Duration::rep Ms) {
+  return std::move(Before).heard(Value, Options, at(Ms));
+}
+
+TEST(Roster, ALateReportChangesNothing) {
+  Roster Value = heard(Roster(at(0)), report(5, 9), 100);
+  EXPECT_FALSE(Value.isFresh(report(5, 8)));
+  EXPECT_FALSE(Value.isFresh(report(5, 9)));
+  EXPECT_FALSE(Value.isFresh(report(4, 99)));
+  EXPECT_EQ(heard(Value, report(5, 8), 200), Value);
+}
+
+TEST(Roster, ANewLifeEndsTheOldOneAtOnce) {
+  Roster Value = heard(Roster(at(0)), report(5, 9), 100);
+  EXPECT_FALSE(Value.isOver({Target, 5}, Options, at(200)));
+  Value = heard(Value, report(6, 1), 200);
+  EXPECT_TRUE(Value.isOver({Target, 5}, Options, at(200)));
+  EXPECT_FALSE(Value.isOver({Target, 6}, Options, at(200)));
+}
+
+TEST(Roster, ANewTargetAtAnAddressEndsTheOneBefore) {
+  Roster Value = heard(Roster(at(0)), report(5, 9), 100);
+  Value = heard(Value, report(7, 1, "u"), 200);
+  EXPECT_TRUE(Value.isOver({Target, 5}, Options, at(200)));
+  EXPECT_EQ(Value.find(Target), nullptr);
+  // A report that was delayed must not bring the old life back.
+  EXPECT_FALSE(Value.isFresh(report(5, 10)));
+  EXPECT_NE(Value.find(core::TargetId("u")), nullptr);
+}
+
+TEST(Roster, AnUnheardTargetMayHoldALeaseOfAnEarlierLeader) {
+  Roster Value(at(1000));
+  EXPECT_FALSE(Value.isOver({Target, 5}, Options, at(999) + LongestLease));
+  EXPECT_TRUE(Value.isOver({Target, 5}, Options, at(1000) + LongestLease));
+}
+
+TEST(Roster, AnAnswerExtendsLeasesFromItsReport) {
+  Roster Value = heard(Roster(at(0)), report(5, 1), 20000);
+  Value = std::move(Value).extended(Target, Options, at(20000));
+  EXPECT_FALSE(Value.isOver({Target, 5}, Options, at(19999) + LongestLease));
+  EXPECT_TRUE(Value.isOver({Target, 5}, Options, at(20000) + LongestLease));
+}
+
+TEST(Roster, ASilentOrDrainingTargetGetsNoNewWork) {
+  Roster Value = heard(Roster(at(0)), report(5, 1), 100);
+  const Member Known = *Value.find(Target);
+  EXPECT_TRUE(Value.isOpen(Known, Options, at(200)));
+  EXPECT_FALSE(Value.isOpen(Known, Options, at(100) + Options.m_SilentAfter));
+  Report Leaving = report(5, 2);
+  Leaving.m_Draining = true;
+  Value = heard(Value, Leaving, 200);
+  EXPECT_FALSE(Value.isOpen(*Value.find(Target), Options, at(200)));
+}
+
+TEST(Roster, AWordOfLeavingEndsJustTheLifeThatItNames) {
+  Roster Value = heard(Roster(at(0)), report(5, 1), 100);
+  Roster Other = std::move(Roster(Value)).left(Target, 4);
+  EXPECT_FALSE(Other.isOver({Target, 5}, Options, at(200)));
+  Roster Unnamed = std::move(Roster(Value)).left(Target, std::nullopt);
+  EXPECT_FALSE(Unnamed.isOver({Target, 5}, Options, at(200)));
+  EXPECT_FALSE(Unnamed.isOpen(*Unnamed.find(Target), Options, at(200)));
+  Value = std::move(Value).left(Target, 5);
+  EXPECT_TRUE(Value.isOver({Target, 5}, Options, at(200)));
+}
