Give reserves their room: order, displacement and holds for urgent work

In a burst of urgent work nothing of lower priority was left to stop, urgent gangs held no room, and smaller urgent jobs took what came free; what was being stopped for one could be given to another.

--- a/packages/assignment/displace.cpp
+++ b/packages/assignment/displace.cpp
@@ -14,11 +14,12 @@
   constexpr std::uint32_t WholeGang = 0;
   for (std::size_t Index = 0; Index < All.size(); ++Index)
     for (const Occupant &Each : All[Index].m_Occupants) {
-      if (!Each.m_Displaceable || Each.m_Priority == 0)
+      if (!Each.m_Displaceable || Each.m_Reserved)
         continue;
       std::uint32_t Part = Each.m_Gang ? WholeGang : Each.m_Task.m_Index + 1;
       Victim &Unit = Units[{Each.m_Task.m_Workflow, Each.m_Task.m_Step, Part}];
       Unit.m_Run = Each.m_Run;
+      Unit.m_Urgent = Each.m_Priority == 0;
       Unit.m_Tasks.push_back(Each.m_Task);
       Unit.m_Occupies.emplace_back(Index, Each.m_Capacity);
       Unit.m_Cost += Each.m_Unsaved.count() *
@@ -97,15 +98,21 @@
 static Plan planIn(const std::vector<Room> &All,
                    const std::vector<Victim> &Victims, const Group &Where,
                    const Demand &For) {
-  std::vector<std::pair<double, std::size_t>> Order;
-  for (std::size_t I = 0; I < Victims.size(); ++I)
+  bool MayStopUrgent = For.m_Reserved && For.m_Waited >= DisplacesUrgentAfter;
+  // Urgent work goes last of all.
+  std::vector<std::tuple<bool, double, std::size_t>> Order;
+  for (std::size_t I = 0; I < Victims.size(); ++I) {
+    if (Victims[I].m_Urgent && !MayStopUrgent)
+      continue;
     if (std::int64_t Freed = freedIn(Where, Victims[I]); Freed > 0)
-      Order.emplace_back(static_cast<double>(Victims[I].m_Cost) /
+      Order.emplace_back(Victims[I].m_Urgent,
+                         static_cast<double>(Victims[I].m_Cost) /
                              static_cast<double>(Freed),
                          I);
+  }
   std::sort(Order.begin(), Order.end());
   Plan Out;
-  for (const auto &[Price, Index] : Order) {
+  for (const auto &[Urgent, Price, Index] : Order) {
     Out.m_Victims.push_back(Index);
     if (!fitsWith(All, Victims, Out.m_Victims, Where, For))
       continue;
--- a/packages/assignment/displace.h
+++ b/packages/assignment/displace.h
@@ -13,6 +13,8 @@
   std::uint32_t m_Run = 0;
   // Work that is lost by it, in accelerator-milliseconds.
   std::int64_t m_Cost = 0;
+  // Urgent itself, but beyond what its workspace has reserved.
+  bool m_Urgent = false;
   // What it occupies, by room.
   std::vector<std::pair<std::size_t, core::Capacity>> m_Occupies;
   std::vector<workflow::TaskKey> m_Tasks;
@@ -20,7 +22,11 @@
   friend bool operator==(const Victim &, const Victim &) = default;
 };
 
-// Everything of lower priority that could be stopped for urgent work.
+// Urgent work beyond a reserve is stopped only for work within one that has
+// waited for so long.
+inline constexpr core::Duration DisplacesUrgentAfter{2000};
+
+// Everything that could be stopped for urgent work.
 [[nodiscard]] std::vector<Victim> victimsIn(const std::vector<Room> &All);
 
 // The victims whose stop lets the demand fit at least cost, by their places
--- a/packages/assignment/pass.cpp
+++ b/packages/assignment/pass.cpp
@@ -85,26 +85,40 @@
     W.m_Holds.push_back(*std::move(Kept));
 }
 
-// Stops other work for an urgent demand, unless room comes back anyway.
-static void displace(Work &W, const Demand &For, const RoomIndexes &Suitable) {
+// Keeps what a demand will need in these rooms: first of what comes back, then
+// of what is free.
+static void reserveSoon(Work &W, const Demand &For, const RoomIndexes &Chosen) {
+  for (std::size_t Index : Chosen) {
+    Room &Value = W.m_Rooms[Index];
+    const core::Capacity &Needed = For.spec().m_PerTask;
+    core::Capacity Returned = lesser(Value.m_Coming, Needed);
+    Value.m_Coming = Value.m_Coming - Returned;
+    Value.m_Free = Value.m_Free - (Needed - Returned);
+  }
+}
+
+// Reserves room that is free or comes back soon. Returns false when that does
+// not suffice for all waiting tasks.
+static bool awaitRoom(Work &W, const Demand &For, const RoomIndexes &Suitable) {
   RoomIndexes Soon = For.spec().m_Gang
                          ? fitGang(W.m_Rooms, Suitable, For, freeSoon)
                          : fitSingles(W.m_Rooms, Suitable, For, freeSoon);
-  if (Soon.size() == For.m_Waiting.size()) {
-    // What comes back is spoken for: the next demand must not count on it.
-    for (std::size_t Index : Soon)
-      W.m_Rooms[Index].m_Coming =
-          W.m_Rooms[Index].m_Coming - For.spec().m_PerTask;
-    return;
-  }
+  if (Soon.size() != For.m_Waiting.size())
+    return false;
+  reserveSoon(W, For, Soon);
+  return true;
+}
+
+// Stops other work for an urgent demand. Returns false when no stop helps.
+static bool displace(Work &W, const Demand &For, const RoomIndexes &Suitable) {
   if (W.m_Displacing >= W.m_Options.m_MaxDisplacing)
-    return;
+    return false;
   if (!std::exchange(W.m_VictimsKnown, true))
     W.m_Victims = victimsIn(W.m_Rooms);
   std::vector<std::size_t> Chosen =
       chooseVictims(W.m_Rooms, W.m_Victims, Suitable, For);
   if (Chosen.empty())
-    return;
+    return false;
   ++W.m_Displacing;
   for (std::size_t Each : Chosen) {
     const Victim &Value = W.m_Victims[Each];
@@ -118,12 +132,7 @@
   std::sort(Chosen.begin(), Chosen.end(), std::greater<>());
   for (std::size_t Each : Chosen)
     W.m_Victims.erase(W.m_Victims.begin() + static_cast<std::ptrdiff_t>(Each));
-  RoomIndexes Taken = For.spec().m_Gang
-                          ? fitGang(W.m_Rooms, Suitable, For, freeSoon)
-                          : fitSingles(W.m_Rooms, Suitable, For, freeSoon);
-  for (std::size_t Index : Taken)
-    W.m_Rooms[Index].m_Coming =
-        W.m_Rooms[Index].m_Coming - For.spec().m_PerTask;
+  return awaitRoom(W, For, Suitable);
 }
 
 static void decide(Work &W, Demand For) {
@@ -144,9 +153,10 @@
   For.m_Waiting.erase(For.m_Waiting.begin(),
                       For.m_Waiting.begin() +
                           static_cast<std::ptrdiff_t>(Chosen.size()));
-  if (For.terms().m_Priority == 0 && W.m_Options.m_Displaces)
-    displace(W, For, Suitable);
-  else if (Gang)
+  bool Urgent = For.terms().m_Priority == 0 && W.m_Options.m_Displaces;
+  bool Helped =
+      Urgent && (awaitRoom(W, For, Suitable) || displace(W, For, Suitable));
+  if (!Helped && Gang)
     hold(W, For, Suitable);
 }
 
--- a/packages/assignment/rank.cpp
+++ b/packages/assignment/rank.cpp
@@ -27,6 +27,7 @@
 // Members in order of importance; smaller goes first.
 struct Rank {
   bool m_NotUrgent = true;
+  bool m_NotReserved = true;
   Prospect m_Prospect = Prospect::InTime;
   core::Time m_LatestStart;
   core::RequestId m_Workflow;
@@ -45,6 +46,7 @@
                   : End <= Useless       ? Prospect::Late
                                          : Prospect::Useless;
   return {.m_NotUrgent = Value.terms().m_Priority != 0,
+          .m_NotReserved = !Value.m_Reserved,
           .m_Prospect = Seen,
           .m_LatestStart = objectiveOf(Of) - Value.m_Remaining,
           .m_Workflow = Of.id(),
--- a/packages/assignment/rank.h
+++ b/packages/assignment/rank.h
@@ -9,7 +9,8 @@
 // An order puts demands into the sequence in which they are served at Now.
 using Order = void (*)(std::vector<Demand> &, core::Time);
 
-// The product's order. Priority zero first; among the others what can still
+// The product's order. Priority zero first, and of it what its workspace has
+// reserved room for; among equals what can still
 // meet its objective goes before what is late, and what is late before what
 // is worth nothing any more; then the one that must start soonest.
 //
--- a/packages/assignment/view.h
+++ b/packages/assignment/view.h
@@ -19,6 +19,8 @@
   core::Duration m_Unsaved{0};
   // True for a member of a gang, which is stopped as a whole.
   bool m_Gang = false;
+  // True for urgent work within what its workspace has reserved.
+  bool m_Reserved = false;
   // False for tasks that are never displaced.
   bool m_Displaceable = true;
 
@@ -53,8 +55,11 @@
   core::Duration m_Remaining{0};
   // Targets on which a task of the step has failed.
   std::set<core::TargetId> m_FailedOn;
-  // True while the workspace uses less for priority zero than it reserved.
-  bool m_WithinReserve = false;
+  // True for urgent work within what its workspace has reserved: such room
+  // belongs to it whoever uses it.
+  bool m_Reserved = false;
+  // How long the workflow has waited since it was accepted.
+  core::Duration m_Waited{0};
 
   [[nodiscard]] const workflow::StepSpec &spec() const {
     return m_Workflow->spec().m_Steps[m_Step];
--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -236,9 +236,51 @@
   return nullptr;
 }
 
-static assignment::Occupant occupantOf(const State &Current,
-                                       const roster::Member &On,
-                                       const TaskKey &Key, core::Time Now) {
+// ---- Reserves --------------------------------------------------------------
+
+// Accelerators that the workflow needs at once, at most.
+static std::int64_t acceleratorsOf(const workflow::WorkflowSpec &Spec) {
+  std::int64_t Most = 0;
+  for (const workflow::StepSpec &Each : Spec.m_Steps)
+    Most = std::max(Most, Each.m_PerTask.m_Accelerators * Each.m_Tasks);
+  return Most;
+}
+
+using WorkflowIds = std::set<core::RequestId>;
+
+// Urgent workflows within what their workspaces have reserved: the oldest ones
+// that fit the reserve together.
+static WorkflowIds reservedWorkflows(const State &Current) {
+  std::vector<const workflow::Workflow *> Urgent;
+  for (const core::RequestId &Id : Current.m_Indexes.m_ActiveWorkflows) {
+    const workflow::Workflow *Each = findWorkflow(Current, Id);
+    if (Each->spec().m_Terms.m_Priority == 0)
+      Urgent.push_back(Each);
+  }
+  std::sort(Urgent.begin(), Urgent.end(), [](const auto *A, const auto *B) {
+    return std::pair(A->fields().m_AcceptedAt, A->id()) <
+           std::pair(B->fields().m_AcceptedAt, B->id());
+  });
+  std::map<core::WorkspaceId, std::int64_t> Used;
+  WorkflowIds Within;
+  for (const workflow::Workflow *Each : Urgent) {
+    const core::WorkspaceId &Owner = Each->spec().m_Workspace;
+    const workspace::Workspace *Found =
+        Current.m_Tables.m_Configuration.find(Owner);
+    std::int64_t Needed = acceleratorsOf(Each->spec());
+    if (!Found || Used[Owner] + Needed > Found->spec().m_ReservedAccelerators)
+      continue;
+    Used[Owner] += Needed;
+    Within.insert(Each->id());
+  }
+  return Within;
+}
+
+// ---- Rooms and demands -----------------------------------------------------
+
+static assignment::Occupant
+occupantOf(const State &Current, const roster::Member &On, const TaskKey &Key,
+           const WorkflowIds &Reserved, core::Time Now) {
   const workflow::Workflow &Of = *findWorkflow(Current, Key.m_Workflow);
   const workflow::StepSpec &Step = Of.spec().m_Steps[Key.m_Step];
   const workflow::Task &Value = *Of.find(Key.m_Step, Key.m_Index);
@@ -254,6 +296,7 @@
           .m_ExpectedEnd = expectedEnd(Step, Value),
           .m_Unsaved = Saves ? std::min(Ran, SavedEvery) : Ran,
           .m_Gang = Step.m_Gang,
+          .m_Reserved = Reserved.contains(Key.m_Workflow),
           .m_Displaceable = !Step.m_Lasting};
 }
 
@@ -274,7 +317,8 @@
 }
 
 static assignment::Room roomOf(const Polling &Self, const State &Current,
-                               const roster::Member &On, core::Time Now) {
+                               const roster::Member &On,
+                               const WorkflowIds &Reserved, core::Time Now) {
   const roster::Report &Last = On.m_Last;
   core::Capacity Leftover = leftovers(Current, On);
   assignment::Room Value{.m_Life = On.life(),
@@ -288,7 +332,7 @@
     const workflow::Task &Task = *findTask(Current, Key);
     if (Task.m_Where != On.life())
       continue;
-    assignment::Occupant Each = occupantOf(Current, On, Key, Now);
+    assignment::Occupant Each = occupantOf(Current, On, Key, Reserved, Now);
     Value.m_Free = Value.m_Free - Each.m_Capacity;
     if (isWanted(Self, Current, Key, Task.m_Run))
       Value.m_Occupants.push_back(std::move(Each));
@@ -321,12 +365,16 @@
   return Longest;
 }
 
-static void addDemands(const workflow::Workflow &Value, core::Time Now,
+static void addDemands(const workflow::Workflow &Value,
+                       const WorkflowIds &Reserved, core::Time Now,
                        std::vector<assignment::Demand> &Into) {
   for (std::uint32_t I = 0; I < Value.fields().m_Steps.size(); ++I) {
     if (!Value.isReady(I))
       continue;
-    assignment::Demand Wanted{.m_Workflow = &Value, .m_Step = I};
+    assignment::Demand Wanted{.m_Workflow = &Value,
+                              .m_Step = I,
+                              .m_Reserved = Reserved.contains(Value.id()),
+                              .m_Waited = Now - Value.fields().m_AcceptedAt};
     const auto &Tasks = Value.fields().m_Steps[I].m_Tasks;
     for (std::uint32_t T = 0; T < Tasks.size(); ++T) {
       if (Tasks[T].m_Phase != workflow::TaskPhase::Waiting)
@@ -348,15 +396,16 @@
   Polling &Self = Out.m_Polling;
   Self.m_PassNeeded = false;
   Self.m_PassAt = Now;
+  WorkflowIds Reserved = reservedWorkflows(Current);
   std::vector<assignment::Demand> Demands;
   for (const core::RequestId &Id : Current.m_Indexes.m_ActiveWorkflows)
-    addDemands(*findWorkflow(Current, Id), Now, Demands);
+    addDemands(*findWorkflow(Current, Id), Reserved, Now, Demands);
   if (Demands.empty())
     return;
   std::vector<assignment::Room> Rooms;
   for (const auto &[Id, Each] : Self.m_Roster.members())
     if (Self.m_Roster.isOpen(Each, Options.m_Roster, Now))
-      Rooms.push_back(roomOf(Self, Current, Each, Now));
+      Rooms.push_back(roomOf(Self, Current, Each, Reserved, Now));
   assignment::PassResult Result = assignment::runPass(
       std::move(Rooms), std::move(Demands), Options.m_Pass, Now);
   for (assignment::Assignment &Each : Result.m_Assignments)
--- a/packages/core/shape.h
+++ b/packages/core/shape.h
@@ -48,6 +48,12 @@
     return {A.m_Accelerators - B.m_Accelerators,
             A.m_Processors - B.m_Processors, A.m_MemoryMb - B.m_MemoryMb};
   }
+  // The lesser amount of each resource.
+  friend constexpr Capacity lesser(const Capacity &A, const Capacity &B) {
+    return {std::min(A.m_Accelerators, B.m_Accelerators),
+            std::min(A.m_Processors, B.m_Processors),
+            std::min(A.m_MemoryMb, B.m_MemoryMb)};
+  }
   friend constexpr Capacity operator*(const Capacity &A, std::int64_t Times) {
     return {A.m_Accelerators * Times, A.m_Processors * Times,
             A.m_MemoryMb * Times};
--- a/tests/assignment/pass_test.cpp
+++ b/tests/assignment/pass_test.cpp
@@ -184,6 +184,44 @@
       run({demand(add("urgent", gang(1, 8), 0))}).m_Displacements.empty());
 }
 
+TEST_F(Pass, ReservedWorkStopsUrgentWorkBeyondAReserveOnceItHasWaited) {
+  addEmptyRacks(1);
+  const Workflow &Other = add("other", gang(2, 8), 0);
+  occupy(0, Other, 0, core::Duration(100));
+  occupy(1, Other, 1, core::Duration(100));
+  Demand Owner = demand(add("owner", gang(2, 8), 0));
+  Owner.m_Reserved = true;
+  EXPECT_TRUE(run({Owner}).m_Displacements.empty());
+  Owner.m_Waited = DisplacesUrgentAfter;
+  EXPECT_EQ(run({Owner}).m_Displacements.size(), 2U);
+  for (Room &Each : m_Rooms)
+    for (Occupant &Inside : Each.m_Occupants)
+      Inside.m_Reserved = true;
+  EXPECT_TRUE(run({Owner}).m_Displacements.empty());
+}
+
+// A burst of small urgent work must not keep a large urgent gang out for ever.
+TEST_F(Pass, AnUrgentGangThatCanStopNobodyHoldsItsRoom) {
+  addEmptyRacks(1);
+  const Workflow &Other = add("other", gang(1, 8), 0);
+  occupy(0, Other, 0, core::Duration(100));
+  Demand Large = demand(add("large", gang(2, 8), 0));
+  Large.m_Reserved = true;
+  StepSpec Long = gang(1, 1);
+  Long.m_RunTime = core::Duration(60000);
+  Demand Small = demand(add("small", Long, 0));
+  EXPECT_TRUE(run({Small, Large}).m_Assignments.empty());
+}
+
+// What is being stopped for one is not given to another in between.
+TEST_F(Pass, RoomThatComesBackIsKeptTogetherWithWhatIsFree) {
+  addRoom("a0", "r0", {2, 64000, 256000});
+  m_Rooms[0].m_Coming = {6, 0, 0};
+  Demand Urgent = demand(add("urgent", gang(1, 8), 0));
+  Demand Small = demand(add("small", gang(1, 1), 2));
+  EXPECT_TRUE(run({Urgent, Small}).m_Assignments.empty());
+}
+
 TEST_F(Pass, RoomIsHeldForALargeGangAgainstASmallOneThatWouldOutlastIt) {
   addEmptyRacks(1);
   const Workflow &Running = add("running", gang(1, 8), 1);
