Withdraw a run only after its stop was ordered and waited for; bounded log on standard output

Cause: a run that was not wanted any more and that a report did not show was taken for never started and started again elsewhere. A target may carry out an order late, so the run began after the report. Now its stop is ordered with each answer, which makes the target refuse it, and it counts as over after two answers and two seconds. Ruled out: leases (both lives were reporting), two leaders (one starter).

--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -68,22 +68,31 @@
 
 // ---- Reports ---------------------------------------------------------------
 
-// An assigned run that is not wanted any more, and that a report does not
-// show, was never started there: at most one report of a target is under way,
-// so an order that reached it shows in its next report.
-static void withdrawUnstarted(PollingStep &Out, const State &Current,
-                              const roster::Member &From,
-                              const PollingOptions &Options, core::Time Now) {
-  // A first report may have been delayed since before this leader's time.
-  if (Now - From.m_FirstHeardAt < Options.m_Roster.m_SilentAfter)
-    return;
+// True when the run is assigned to this life, and neither shown by the newest
+// report nor wanted there any more.
+static bool isWithdrawn(const Polling &Self, const State &Current,
+                        const roster::Member &From, const TaskKey &Key,
+                        const workflow::Task &Value) {
+  bool Unseen = Value.m_Where == From.life() &&
+                !isReported(From.m_Last, Key, Value.m_Run);
+  bool Wanted =
+      isWanted(Self, Current, Key, Value.m_Run) && !From.m_Last.m_Draining;
+  return Unseen && !Wanted;
+}
+
+// Ends withdrawn runs that can't begin any more: a target refuses a run whose
+// stop it has been ordered.
+static void endWithdrawn(PollingStep &Out, const State &Current,
+                         const roster::Member &From,
+                         const PollingOptions &Options, core::Time Now) {
   for (const TaskKey &Key : assignedTo(Current, From.m_Last.m_Target)) {
     const workflow::Task &Value = *findTask(Current, Key);
-    bool Unstarted = Value.m_Where == From.life() &&
-                     !isReported(From.m_Last, Key, Value.m_Run);
-    bool Wanted = isWanted(Out.m_Polling, Current, Key, Value.m_Run) &&
-                  !From.m_Last.m_Draining;
-    if (Unstarted && !Wanted)
+    auto Known = Out.m_Polling.m_Withdrawals.find(Key);
+    bool Settled = Known != Out.m_Polling.m_Withdrawals.end() &&
+                   Known->second.m_Run == Value.m_Run &&
+                   Known->second.m_Answers >= Options.m_WithdrawAnswers &&
+                   Now - Known->second.m_Since >= Options.m_WithdrawAfter;
+    if (Settled && isWithdrawn(Out.m_Polling, Current, From, Key, Value))
       proposeEnd(Out, Key, Value.m_Run, workflow::RunEnd::Interrupted, {});
   }
 }
@@ -101,7 +110,7 @@
     if (isOut(Current, Each.m_Task, Each.m_Run, From.life()))
       proposeEnd(Out, Each.m_Task, Each.m_Run, roster::runEndOf(Each.m_Cause),
                  Each.m_Saved);
-  withdrawUnstarted(Out, Current, From, Options, Now);
+  endWithdrawn(Out, Current, From, Options, Now);
   Out.m_Polling.m_PassNeeded = true;
   return Out;
 }
@@ -124,6 +133,9 @@
   };
   std::erase_if(Before.m_Displaced, IsOver);
   std::erase_if(Before.m_EndProposed, IsOver);
+  std::erase_if(Before.m_Withdrawals, [&](const auto &Each) {
+    return IsOver(std::pair(Each.first, Each.second.m_Run));
+  });
   return Before;
 }
 
@@ -165,6 +177,30 @@
     if (!isOut(Current, Each.m_Task, Each.m_Run, To.life()) ||
         !isWanted(Self, Current, Each.m_Task, Each.m_Run))
       Into.m_Stops.push_back({.m_Task = Each.m_Task, .m_Run = Each.m_Run});
+  for (const TaskKey &Key : assignedTo(Current, To.m_Last.m_Target)) {
+    const workflow::Task &Value = *findTask(Current, Key);
+    if (isWithdrawn(Self, Current, To, Key, Value))
+      Into.m_Stops.push_back({.m_Task = Key, .m_Run = Value.m_Run});
+  }
+}
+
+Polling answered(Polling Before, const State &Current, const core::TargetId &Id,
+                 const roster::Orders &Orders, const PollingOptions &Options,
+                 core::Time ReportedAt, core::Time Now) {
+  Before.m_Roster =
+      std::move(Before.m_Roster).extended(Id, Options.m_Roster, ReportedAt);
+  const roster::Member *To = Before.m_Roster.find(Id);
+  for (const roster::StopOrder &Each : Orders.m_Stops) {
+    bool Unseen = To && isOut(Current, Each.m_Task, Each.m_Run, To->life()) &&
+                  !isReported(To->m_Last, Each.m_Task, Each.m_Run);
+    if (!Unseen)
+      continue;
+    Withdrawal &Known = Before.m_Withdrawals[Each.m_Task];
+    if (Known.m_Run != Each.m_Run)
+      Known = {.m_Run = Each.m_Run, .m_Since = Now};
+    ++Known.m_Answers;
+  }
+  return Before;
 }
 
 OrdersNow ordersFor(const Polling &Current, const State &State,
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -30,6 +30,10 @@
   // Time after which waiting steps are looked at again without a change.
   core::Duration m_PassAgain{250};
   core::Duration m_LossEvery{100};
+  // A run that no report shows counts as never started once its stop was
+  // ordered so often and for so long. A target may carry out an order late.
+  std::uint32_t m_WithdrawAnswers = 2;
+  core::Duration m_WithdrawAfter{2000};
 
   friend bool operator==(const PollingOptions &,
                          const PollingOptions &) = default;
@@ -37,6 +41,16 @@
 
 // ---- State -----------------------------------------------------------------
 
+// A run that is not wanted any more, and that its target never showed.
+struct Withdrawal {
+  std::uint32_t m_Run = 0;
+  // Answers that ordered its stop, and when the first of them left.
+  std::uint32_t m_Answers = 0;
+  core::Time m_Since;
+
+  friend bool operator==(const Withdrawal &, const Withdrawal &) = default;
+};
+
 // The leader's working state; a new leader starts with an empty one.
 struct Polling {
   roster::Roster m_Roster;
@@ -44,6 +58,7 @@
   std::map<workflow::TaskKey, std::uint32_t> m_Displaced;
   // Runs whose end was proposed and is not durable yet.
   std::map<workflow::TaskKey, std::uint32_t> m_EndProposed;
+  std::map<workflow::TaskKey, Withdrawal> m_Withdrawals;
   bool m_PassNeeded = true;
   core::Time m_PassAt;
   core::Time m_LossAt;
@@ -97,6 +112,13 @@
   friend bool operator==(const OrdersNow &, const OrdersNow &) = default;
 };
 
+// After a target's report, heard at ReportedAt, was answered with the orders.
+[[nodiscard]] Polling answered(Polling Before, const State &Current,
+                               const core::TargetId &Id,
+                               const roster::Orders &Orders,
+                               const PollingOptions &Options,
+                               core::Time ReportedAt, core::Time Now);
+
 [[nodiscard]] OrdersNow ordersFor(const Polling &Current, const State &State,
                                   const roster::Member &To,
                                   const PollingOptions &Options,
--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -200,9 +200,11 @@
       if (Reloaded)
         Interface.setTokens(*std::move(Reloaded));
     }
+    flushLog();
     return Wait;
   });
   logEvent(Event::Stopped, {{"vm", Values.m_Self.m_Id.text()}});
+  flushLog();
   return ExitOk;
 }
 
@@ -229,7 +231,7 @@
     std::cout << "settings are valid\n";
     return ExitOk;
   }
-  auto Logging = openLog(Values->m_LogLevel, Values->m_LogFile);
+  auto Logging = openLog(Values->m_Log);
   if (!Logging) {
     std::cerr << "fireflydriftd: " << core::toString(Logging.reason()) << "\n";
     return ExitSettings;
--- a/packages/runtime/events.cpp
+++ b/packages/runtime/events.cpp
@@ -3,13 +3,17 @@
 #include <algorithm>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <boost/log/utility/setup/file.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
+#include <chrono>
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
 
 namespace fireflydrift::runtime {
 
@@ -26,6 +30,8 @@
       {Event::Stopped, Severity::Info, "stopped"},
       {Event::ListenFailed, Severity::Error, "listen_failed"},
       {Event::TokensReloaded, Severity::Info, "tokens_reloaded"},
+      {Event::LinesLeftOut, Severity::Warning, "lines_left_out"},
+      {Event::Reloaded, Severity::Info, "reloaded"},
       {Event::JobAccepted, Severity::Info, "job_accepted"},
       {Event::JobPlaced, Severity::Info, "job_placed"},
       {Event::JobWaiting, Severity::Info, "job_waiting"},
@@ -85,36 +91,73 @@
 
 BOOST_LOG_ATTRIBUTE_KEYWORD(SeverityOf, "Severity", Severity)
 
-static boost::log::sources::severity_logger<Severity> &logger() {
-  static boost::log::sources::severity_logger<Severity> Logger;
-  return Logger;
+namespace {
+
+// Hands formatted lines to the writer.
+class WriterBackend : public logging::sinks::basic_formatted_sink_backend<
+                          char, logging::sinks::synchronized_feeding> {
+public:
+  explicit WriterBackend(int File) : m_Writer(File) {}
+  void consume(const logging::record_view &, const std::string &Line) {
+    m_Writer.take(Line);
+  }
+  [[nodiscard]] LogWriter &writer() noexcept { return m_Writer; }
+
+private:
+  LogWriter m_Writer;
+};
+
+// The process's one log.
+struct Log {
+  boost::log::sources::severity_logger<Severity> m_Logger;
+  boost::shared_ptr<WriterBackend> m_Backend;
+  LineBudgetOptions m_Options;
+  LineBudget m_Budget;
+};
+
+} // namespace
+
+static Log &log() {
+  static Log Value;
+  return Value;
+}
+
+static core::Time wallTime() {
+  return core::Time(std::chrono::duration_cast<core::Duration>(
+      std::chrono::system_clock::now().time_since_epoch()));
 }
 
-core::Outcome<bool> openLog(const std::string &Level, const std::string &File) {
+core::Outcome<bool> openLog(const LogOptions &Options) {
   static const std::vector<std::pair<std::string, Severity>> Levels{
       {"debug", Severity::Debug},
       {"info", Severity::Info},
       {"warning", Severity::Warning},
       {"error", Severity::Error}};
   auto Found =
-      std::find_if(Levels.begin(), Levels.end(),
-                   [&](const auto &Each) { return Each.first == Level; });
+      std::find_if(Levels.begin(), Levels.end(), [&](const auto &Each) {
+        return Each.first == Options.m_Level;
+      });
   if (Found == Levels.end())
     return core::Reason{core::ReasonCode::InvalidInput, "log.level",
                         "must be debug, info, warning or error"};
-  auto Format = expr::stream
-                << expr::format_date_time<boost::posix_time::ptime>(
-                       "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                << ' ' << SeverityOf << ' ' << expr::smessage;
+  int File = STDOUT_FILENO;
+  if (!Options.m_File.empty())
+    File = ::open(Options.m_File.c_str(),
+                  O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (File < 0)
+    return core::Reason{core::ReasonCode::Io, "log.file", "can't be opened"};
   logging::add_common_attributes();
-  if (File.empty())
-    logging::add_console_log(std::clog, logging::keywords::format = Format,
-                             logging::keywords::auto_flush = true);
-  else
-    logging::add_file_log(logging::keywords::file_name = File,
-                          logging::keywords::open_mode = std::ios::app,
-                          logging::keywords::format = Format,
-                          logging::keywords::auto_flush = true);
+  log().m_Options = Options.m_Budget;
+  log().m_Budget = fullLineBudget(Options.m_Budget, wallTime());
+  log().m_Backend = boost::make_shared<WriterBackend>(File);
+  auto Sink =
+      boost::make_shared<logging::sinks::synchronous_sink<WriterBackend>>(
+          log().m_Backend);
+  Sink->set_formatter(expr::stream
+                      << expr::format_date_time<boost::posix_time::ptime>(
+                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                      << ' ' << SeverityOf << ' ' << expr::smessage);
+  logging::core::get()->add_sink(Sink);
   logging::core::get()->set_filter(SeverityOf >= Found->second);
   return true;
 }
@@ -133,13 +176,35 @@
   return Quoted + "\"";
 }
 
-void logEvent(Event Value, const Fields &Details) {
-  const EventInfo &Info = infoOf(Value);
-  std::string Line =
-      "FD" + std::to_string(static_cast<unsigned>(Value)) + " " + Info.m_Name;
+static void writeLine(const EventInfo &Info, const Fields &Details) {
+  std::string Line = "FD" +
+                     std::to_string(static_cast<unsigned>(Info.m_Event)) + " " +
+                     Info.m_Name;
   for (const auto &[Key, Text] : Details)
     Line += std::string(" ") + Key + "=" + quoted(Text);
-  BOOST_LOG_SEV(logger(), Info.m_Severity) << Line;
+  BOOST_LOG_SEV(log().m_Logger, Info.m_Severity) << Line;
+}
+
+void logEvent(Event Value, const Fields &Details) {
+  const EventInfo &Info = infoOf(Value);
+  LineBudget &Budget = log().m_Budget;
+  if (log().m_Backend && Info.m_Severity != Severity::Error) {
+    std::uint64_t LeftOut = Budget.m_LeftOut;
+    Budget = offered(Budget, log().m_Options, wallTime());
+    if (Budget.m_LeftOut > LeftOut)
+      return;
+  }
+  if (std::uint64_t LeftOut = std::exchange(Budget.m_LeftOut, 0); LeftOut > 0)
+    writeLine(infoOf(Event::LinesLeftOut),
+              {{"lines", std::to_string(LeftOut)}});
+  writeLine(Info, Details);
+  if (Info.m_Severity == Severity::Error)
+    flushLog();
+}
+
+void flushLog() {
+  if (log().m_Backend)
+    log().m_Backend->writer().flush();
 }
 
 } // namespace fireflydrift::runtime
--- a/packages/runtime/events.h
+++ b/packages/runtime/events.h
@@ -3,6 +3,7 @@
 #define FIREFLYDRIFT_RUNTIME_EVENTS_H
 
 #include "core/outcome.h"
+#include "runtime/log_writer.h"
 
 #include <string>
 #include <string_view>
@@ -19,6 +20,8 @@
   Stopped = 1004,
   ListenFailed = 1005,
   TokensReloaded = 1006,
+  LinesLeftOut = 1007,
+  Reloaded = 1008,
   JobAccepted = 2001,
   JobPlaced = 2002,
   JobWaiting = 2003,
@@ -71,14 +74,27 @@
 
 using Fields = std::vector<std::pair<const char *, std::string>>;
 
-// Sends log lines of at least this severity to standard error, or to a file
-// when one is named. Fails with InvalidInput on an unknown level.
-[[nodiscard]] core::Outcome<bool> openLog(const std::string &Level,
-                                          const std::string &File);
+struct LogOptions {
+  std::string m_Level = "info";
+  // Standard output when empty.
+  std::string m_File;
+  LineBudgetOptions m_Budget;
+
+  friend bool operator==(const LogOptions &, const LogOptions &) = default;
+};
+
+// Opens the log. Fails with InvalidInput on an unknown level, and with Io when
+// the file can't be opened.
+[[nodiscard]] core::Outcome<bool> openLog(const LogOptions &Options);
 
 // Writes one line: time, severity, FD and the number, name, key=value fields.
+// Lines over the budget are left out, and how many is told with the next one;
+// errors are always written.
 void logEvent(Event Value, const Fields &Details);
 
+// Hands the lines of this turn to the reader.
+void flushLog();
+
 } // namespace fireflydrift::runtime
 
 #endif // FIREFLYDRIFT_RUNTIME_EVENTS_H
--- a/packages/runtime/poll_host.cpp
+++ b/packages/runtime/poll_host.cpp
@@ -84,7 +84,7 @@
                .m_ReportedAt = Now,
                .m_Until = Now + Said.m_MayWait};
   if (Said.m_IsUrgent || Said.m_MayWait <= core::Duration::zero())
-    answer(Id, std::move(Waiting), std::move(Said.m_Orders));
+    answer(Id, std::move(Waiting), std::move(Said.m_Orders), State, Now);
   else
     m_Held.emplace(Id, std::move(Waiting));
 }
@@ -115,10 +115,10 @@
 }
 
 void PollHost::answer(const core::TargetId &Id, Held Value,
-                      roster::Orders Orders) {
-  m_Polling->m_Roster =
-      std::move(m_Polling->m_Roster)
-          .extended(Id, m_Options.m_Roster, Value.m_ReportedAt);
+                      roster::Orders Orders, const control::State &State,
+                      core::Time Now) {
+  m_Polling = control::answered(*std::move(m_Polling), State, Id, Orders,
+                                m_Options, Value.m_ReportedAt, Now);
   logOrders(Id, Orders);
   Value.m_Answer(std::move(Orders));
 }
@@ -140,7 +140,8 @@
     }
     auto Taken = m_Held.extract(Each++);
     if (To)
-      answer(Taken.key(), std::move(Taken.mapped()), std::move(Said.m_Orders));
+      answer(Taken.key(), std::move(Taken.mapped()), std::move(Said.m_Orders),
+             State, Now);
     else
       Taken.mapped().m_Answer(std::nullopt);
   }
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -236,14 +236,17 @@
        text(PART(m_WorkspaceTokensFile))},
       {{"log", "level", "debug, info, warning or error"},
        [](Settings &Into, const std::string &Text) {
-         Into.m_LogLevel = Text;
+         Into.m_Log.m_Level = Text;
          bool Known = Text == "debug" || Text == "info" || Text == "warning" ||
                       Text == "error";
          return Known ? std::string()
                       : std::string("must be debug, info, warning or error");
        }},
-      {{"log", "file", "File for log lines; standard error without it"},
-       text(PART(m_LogFile))},
+      {{"log", "file", "File for log lines; standard output without it"},
+       text(PART(m_Log.m_File))},
+      {{"log", "lines_per_second",
+        "Most log lines a second; further ones are left out and counted"},
+       number<std::uint32_t>(PART(m_Log.m_Budget.m_PerSecond), 1, 1000000)},
   };
 }
 
--- a/packages/runtime/settings.h
+++ b/packages/runtime/settings.h
@@ -6,6 +6,7 @@
 #include "membership/membership.h"
 #include "replica/replica.h"
 #include "routing/admission.h"
+#include "runtime/events.h"
 #include "runtime/http_server.h"
 
 namespace fireflydrift::runtime {
@@ -55,8 +56,7 @@
   core::Duration m_DrainAtLeast{0};
   std::string m_OperatorTokenFile;
   std::string m_WorkspaceTokensFile;
-  std::string m_LogLevel = "info";
-  std::string m_LogFile;
+  LogOptions m_Log;
 
   friend bool operator==(const Settings &, const Settings &) = default;
 };
