Emulate targets in virtual time over the control code; trace an id through logs

Now a target that reports is never over.

fireflydriftctl trace ID LOG... joins the lines of several processes and names the cause.

--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -133,9 +133,11 @@
   };
   std::erase_if(Before.m_Displaced, IsOver);
   std::erase_if(Before.m_EndProposed, IsOver);
-  std::erase_if(Before.m_Withdrawals, [&](const auto &Each) {
+  auto IsOrderOver = [&](const auto &Each) {
     return IsOver(std::pair(Each.first, Each.second.m_Run));
-  });
+  };
+  std::erase_if(Before.m_Starts, IsOrderOver);
+  std::erase_if(Before.m_Withdrawals, IsOrderOver);
   return Before;
 }
 
@@ -184,21 +186,38 @@
   }
 }
 
+// True when the run is assigned to this life and its newest report does not
+// show it.
+static bool isUnseen(const State &Current, const roster::Member &On,
+                     const TaskKey &Key, std::uint32_t Run) {
+  return isOut(Current, Key, Run, On.life()) &&
+         !isReported(On.m_Last, Key, Run);
+}
+
+static Unseen countOrder(Unseen &Known, std::uint32_t Run, core::Time Now) {
+  if (Known.m_Run != Run)
+    Known = {.m_Run = Run, .m_Since = Now};
+  ++Known.m_Answers;
+  return Known;
+}
+
 Polling answered(Polling Before, const State &Current, const core::TargetId &Id,
                  const roster::Orders &Orders, const PollingOptions &Options,
                  core::Time ReportedAt, core::Time Now) {
   Before.m_Roster =
       std::move(Before.m_Roster).extended(Id, Options.m_Roster, ReportedAt);
   const roster::Member *To = Before.m_Roster.find(Id);
-  for (const roster::StopOrder &Each : Orders.m_Stops) {
-    bool Unseen = To && isOut(Current, Each.m_Task, Each.m_Run, To->life()) &&
-                  !isReported(To->m_Last, Each.m_Task, Each.m_Run);
-    if (!Unseen)
-      continue;
-    Withdrawal &Known = Before.m_Withdrawals[Each.m_Task];
-    if (Known.m_Run != Each.m_Run)
-      Known = {.m_Run = Each.m_Run, .m_Since = Now};
-    ++Known.m_Answers;
+  if (!To)
+    return Before;
+  for (const roster::StopOrder &Each : Orders.m_Stops)
+    if (isUnseen(Current, *To, Each.m_Task, Each.m_Run))
+      (void)countOrder(Before.m_Withdrawals[Each.m_Task], Each.m_Run, Now);
+  for (const roster::StartOrder &Each : Orders.m_Starts) {
+    Unseen Known = countOrder(Before.m_Starts[Each.m_Task], Each.m_Run, Now);
+    // The target swallows the order; the run goes elsewhere.
+    if (Known.m_Answers >= Options.m_StartAnswers &&
+        Now - Known.m_Since >= Options.m_StartWithin)
+      Before.m_Displaced[Each.m_Task] = Each.m_Run;
   }
   return Before;
 }
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -34,6 +34,10 @@
   // ordered so often and for so long. A target may carry out an order late.
   std::uint32_t m_WithdrawAnswers = 2;
   core::Duration m_WithdrawAfter{2000};
+  // A start that was ordered so often and for so long without a sign of it is
+  // given up, and the run is withdrawn.
+  std::uint32_t m_StartAnswers = 3;
+  core::Duration m_StartWithin{4000};
 
   friend bool operator==(const PollingOptions &,
                          const PollingOptions &) = default;
@@ -41,14 +45,14 @@
 
 // ---- State -----------------------------------------------------------------
 
-// A run that is not wanted any more, and that its target never showed.
-struct Withdrawal {
+// Orders about a run that its target has not shown yet.
+struct Unseen {
   std::uint32_t m_Run = 0;
-  // Answers that ordered its stop, and when the first of them left.
+  // Answers that held the order, and when the first of them left.
   std::uint32_t m_Answers = 0;
   core::Time m_Since;
 
-  friend bool operator==(const Withdrawal &, const Withdrawal &) = default;
+  friend bool operator==(const Unseen &, const Unseen &) = default;
 };
 
 // The leader's working state; a new leader starts with an empty one.
@@ -58,7 +62,9 @@
   std::map<workflow::TaskKey, std::uint32_t> m_Displaced;
   // Runs whose end was proposed and is not durable yet.
   std::map<workflow::TaskKey, std::uint32_t> m_EndProposed;
-  std::map<workflow::TaskKey, Withdrawal> m_Withdrawals;
+  // Starts and stops of runs that no report has shown.
+  std::map<workflow::TaskKey, Unseen> m_Starts;
+  std::map<workflow::TaskKey, Unseen> m_Withdrawals;
   bool m_PassNeeded = true;
   core::Time m_PassAt;
   core::Time m_LossAt;
--- /dev/null
+++ b/packages/emulator/forward_declarations.h
@@ -0,0 +1,13 @@
+// Names of the emulator's types.
+#ifndef FIREFLYDRIFT_EMULATOR_FORWARD_DECLARATIONS_H
+#define FIREFLYDRIFT_EMULATOR_FORWARD_DECLARATIONS_H
+
+namespace fireflydrift::emulator {
+
+class Target;
+struct Report;
+struct Scenario;
+
+} // namespace fireflydrift::emulator
+
+#endif // FIREFLYDRIFT_EMULATOR_FORWARD_DECLARATIONS_H
--- a/packages/fireflydriftctl/main.cpp
+++ b/packages/fireflydriftctl/main.cpp
@@ -1,4 +1,6 @@
 // The command line of operators and callers.
+#include "emulator/scenario.h"
+#include "messages/timeline.h"
 #include "messages/trace.h"
 #include "runtime/http_client.h"
 
@@ -30,8 +32,10 @@
     "  configuration          print the configuration in force\n"
     "  status                 print the state of the system\n"
     "  replay FILE            run a recorded trace and check its outcomes\n"
+    "  trace ID [LOG...]      join what logs say of an id, and name the cause\n"
+    "  experiment FILE        play a load on emulated targets\n"
     "Exit codes: 0 done, 2 wrong usage, 3 server not reached, 4 refused or\n"
-    "the trace's stated outcomes were not met\n"
+    "the trace's stated outcomes were not met, or a promise was broken\n"
     "Options";
 
 namespace {
@@ -41,6 +45,7 @@
   std::uint16_t m_Port = 7600;
   std::string m_Token;
   long m_WaitMs = 0;
+  long m_Seeds = 1;
   std::vector<std::string> m_Words;
 };
 
@@ -98,6 +103,8 @@
        "File with the operator's or workspace's token", "FILE"},
       {"wait", 'w', POPT_ARG_LONG, &Into.m_WaitMs, 0,
        "With get: how long to wait for the outcome", "MILLISECONDS"},
+      {"seeds", 'n', POPT_ARG_LONG, &Into.m_Seeds, 0,
+       "With experiment: how many seeds in a row", "COUNT"},
       {"version", 'V', POPT_ARG_NONE, &Version, 0, "Print the version",
        nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -189,6 +196,44 @@
   return Unmet.empty() ? ExitOk : ExitRefused;
 }
 
+// Joins what several logs say of one id into one time line, and ends with the
+// cause in a sentence.
+static int trace(const std::vector<std::string> &Words) {
+  std::vector<std::string> Logs;
+  for (std::size_t I = 1; I < Words.size(); ++I) {
+    auto Text = readFile(Words[I]);
+    if (!Text)
+      return usageError("'" + Words[I] + "' can't be read");
+    Logs.push_back(*std::move(Text));
+  }
+  if (Logs.empty())
+    Logs.emplace_back(std::istreambuf_iterator<char>(std::cin),
+                      std::istreambuf_iterator<char>());
+  messages::TimeLine Found = messages::traceId(Words[0], Logs);
+  for (const std::string &Line : Found.m_Lines)
+    std::cout << Line << "\n";
+  std::cout << "cause: " << Found.m_Cause << "\n";
+  return Found.m_Lines.empty() ? ExitRefused : ExitOk;
+}
+
+// Plays a scenario with several seeds in a row.
+static int experiment(const Arguments &Given, const std::string &File) {
+  auto Text = readFile(File);
+  if (!Text)
+    return usageError("'" + File + "' can't be read");
+  auto Scenario = emulator::parseScenario(*Text);
+  if (!Scenario)
+    return usageError(core::toString(Scenario.reason()));
+  bool Kept = true;
+  emulator::Scenario Value = *Scenario;
+  for (std::int64_t I = 0; I < Given.m_Seeds; ++I, ++Value.m_Seed) {
+    emulator::Report Seen = emulator::play(Value);
+    std::cout << "seed " << Value.m_Seed << "\n" << emulator::toText(Seen);
+    Kept = Kept && Seen.m_Broken.empty();
+  }
+  return Kept ? ExitOk : ExitRefused;
+}
+
 static int runCommand(const Arguments &Given) {
   const std::vector<std::string> &Words = Given.m_Words;
   if (Words.empty())
@@ -203,6 +248,10 @@
     return perform(Given, "GET", "/v1/configuration", "");
   if (Is("submit", 2))
     return performWithFile(Given, "POST", "/v1/jobs", Words[1]);
+  if (Is("experiment", 2))
+    return experiment(Given, Words[1]);
+  if (Is("trace", 2) || (Command == "trace" && Words.size() > 2))
+    return trace({Words.begin() + 1, Words.end()});
   if (Is("replay", 2))
     return replayFile(Words[1]);
   if (Is("configure", 2))
--- a/packages/roster/roster.cpp
+++ b/packages/roster/roster.cpp
@@ -43,8 +43,10 @@
   const Member *Known = find(Life.m_Target);
   if (Known && Known->m_Last.m_Incarnation > Life.m_Incarnation)
     return true;
+  // While the target reports, it tells itself what runs and what has ended.
   if (Known && Known->m_Last.m_Incarnation == Life.m_Incarnation)
-    return Now >= Known->m_LeaseUntil;
+    return Now >= std::max(Known->m_LeaseUntil,
+                           Known->m_HeardAt + longestLease(Options));
   return Now >= m_Since + longestLease(Options);
 }
 
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -87,6 +87,25 @@
           "no leader was found in time; nothing was done"};
 }
 
+// What the operation is about, so that a caller's id leads to its lines.
+static std::string subjectOf(const control::Operation &Value) {
+  if (const auto *Typed = std::get_if<control::Submit>(&Value))
+    return core::toString(Typed->m_Spec.m_Key);
+  if (const auto *Typed = std::get_if<control::Fetch>(&Value))
+    return core::toString(Typed->m_Job);
+  if (const auto *Typed = std::get_if<control::Cancel>(&Value))
+    return core::toString(Typed->m_Job);
+  if (const auto *Typed = std::get_if<control::SubmitWorkflow>(&Value))
+    return Typed->m_Call.m_Path;
+  if (const auto *Typed = std::get_if<control::FetchWorkflow>(&Value))
+    return Typed->m_Call.m_Path;
+  if (const auto *Typed = std::get_if<control::AbandonWorkflow>(&Value))
+    return Typed->m_Call.m_Path;
+  if (const auto *Typed = std::get_if<control::Replace>(&Value))
+    return "version " + std::to_string(Typed->m_Replacement.m_Version);
+  return {};
+}
+
 void Entry::forward(const core::VmId &Leader, core::Time Now) {
   routing::ForwardingStep Next =
       routing::due(std::move(m_Forwarding), Leader, m_Options.m_Retry, Now);
@@ -98,10 +117,12 @@
     auto Found = m_Held.find(Id);
     if (Found == m_Held.end())
       continue;
-    logEvent(Event::RequestRouted, {{"operation", std::to_string(Id)},
-                                    {"kind", kindOf(Found->second.m_Operation)},
-                                    {"leader", Leader.text()},
-                                    {"try", std::to_string(Tries)}});
+    logEvent(Event::RequestRouted,
+             {{"operation", std::to_string(Id)},
+              {"kind", kindOf(Found->second.m_Operation)},
+              {"subject", subjectOf(Found->second.m_Operation)},
+              {"leader", Leader.text()},
+              {"try", std::to_string(Tries)}});
     m_Send(Leader, messages::ForwardOperation{
                        .m_Id = Id, .m_Operation = Found->second.m_Operation});
   }
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -85,3 +85,11 @@
   Value = std::move(Value).left(Target, 5);
   EXPECT_TRUE(Value.isOver({Target, 5}, Options, at(200)));
 }
+
+// Long after the leader began, a target that was just heard, and whose report
+// is not answered yet, holds no lease; what was assigned to it is not lost.
+TEST(Roster, ATargetThatReportsIsNotOver) {
+  Roster Value = heard(Roster(at(0)), report(5, 1), 60000);
+  EXPECT_FALSE(Value.isOver({Target, 5}, Options, at(60001)));
+  EXPECT_TRUE(Value.isOver({Target, 5}, Options, at(60000) + LongestLease));
+}
