--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -97,6 +97,37 @@
   }
 }
 
+// Remembers how runs ended, and gives up those that stand still: what they
+// have saved is not lost, and elsewhere they get on.
+static void noticeHealth(PollingStep &Out, const State &Current,
+                         const roster::Member &From,
+                         const PollingOptions &Options, core::Time Now) {
+  Polling &Self = Out.m_Polling;
+  const roster::Report &Last = From.m_Last;
+  for (const roster::EndedTask &Each : Last.m_Ended)
+    if (isOut(Current, Each.m_Task, Each.m_Run, From.life()) &&
+        !Self.m_EndProposed.contains(Each.m_Task))
+      Self.m_Health =
+          std::move(Self.m_Health).ended(Last.m_Target, Each.m_Cause, Now);
+  Self.m_Health = std::move(Self.m_Health).reported(Last, Now);
+  for (roster::RunningTask &Each :
+       Self.m_Health.stalled(Last, Options.m_Health, Now)) {
+    const workflow::Workflow *Of =
+        findWorkflow(Current, Each.m_Task.m_Workflow);
+    bool Lasting = Of && Of->spec().m_Steps[Each.m_Task.m_Step].m_Lasting;
+    bool Wanted = isOut(Current, Each.m_Task, Each.m_Run, From.life()) &&
+                  isWanted(Self, Current, Each.m_Task, Each.m_Run);
+    if (!Wanted || Lasting)
+      continue;
+    Self.m_Displaced[Each.m_Task] = Each.m_Run;
+    // A target where runs stand still is no better than one where they fail.
+    for (std::uint32_t I = 0; I < Options.m_Health.m_SuspectAfter; ++I)
+      Self.m_Health = std::move(Self.m_Health)
+                          .ended(Last.m_Target, roster::EndCause::Failed, Now);
+    Out.m_Stalled.push_back(std::move(Each));
+  }
+}
+
 PollingStep polled(Polling Before, const State &Current, roster::Report Value,
                    const PollingOptions &Options, core::Time Now) {
   PollingStep Out{.m_Polling = std::move(Before)};
@@ -106,6 +137,7 @@
   core::TargetId Id = Value.m_Target;
   Roster = std::move(Roster).heard(std::move(Value), Options.m_Roster, Now);
   const roster::Member From = *Out.m_Polling.m_Roster.find(Id);
+  noticeHealth(Out, Current, From, Options, Now);
   for (const roster::EndedTask &Each : From.m_Last.m_Ended)
     if (isOut(Current, Each.m_Task, Each.m_Run, From.life()))
       proposeEnd(Out, Each.m_Task, Each.m_Run, roster::runEndOf(Each.m_Cause),
@@ -373,16 +405,20 @@
 
 static assignment::Room roomOf(const Polling &Self, const State &Current,
                                const roster::Member &On,
-                               const WorkflowIds &Reserved, core::Time Now) {
+                               const WorkflowIds &Reserved,
+                               const roster::HealthOptions &Options,
+                               core::Time Now) {
   const roster::Report &Last = On.m_Last;
   core::Capacity Leftover = leftovers(Current, On);
-  assignment::Room Value{.m_Life = On.life(),
-                         .m_Pool = Last.m_Pool,
-                         .m_Rack = Last.m_Rack,
-                         .m_Labels = Last.m_Labels,
-                         .m_Total = Last.m_Capacity,
-                         .m_Free = Last.m_Capacity - Leftover,
-                         .m_Coming = Leftover};
+  assignment::Room Value{
+      .m_Life = On.life(),
+      .m_Pool = Last.m_Pool,
+      .m_Rack = Last.m_Rack,
+      .m_Labels = Last.m_Labels,
+      .m_Total = Last.m_Capacity,
+      .m_Free = Last.m_Capacity - Leftover,
+      .m_Coming = Leftover,
+      .m_Suspect = Self.m_Health.isSuspect(Last.m_Target, Options, Now)};
   for (const TaskKey &Key : assignedTo(Current, Last.m_Target)) {
     const workflow::Task &Task = *findTask(Current, Key);
     if (Task.m_Where != On.life())
@@ -460,7 +496,8 @@
   std::vector<assignment::Room> Rooms;
   for (const auto &[Id, Each] : Self.m_Roster.members())
     if (Self.m_Roster.isOpen(Each, Options.m_Roster, Now))
-      Rooms.push_back(roomOf(Self, Current, Each, Reserved, Now));
+      Rooms.push_back(
+          roomOf(Self, Current, Each, Reserved, Options.m_Health, Now));
   assignment::PassResult Result = assignment::runPass(
       std::move(Rooms), std::move(Demands), Options.m_Pass, Now);
   for (assignment::Assignment &Each : Result.m_Assignments)
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -9,6 +9,7 @@
 
 #include "assignment/pass.h"
 #include "control/state.h"
+#include "roster/health.h"
 #include "roster/roster.h"
 
 namespace fireflydrift::control {
@@ -17,6 +18,7 @@
 
 struct PollingOptions {
   roster::RosterOptions m_Roster;
+  roster::HealthOptions m_Health;
   assignment::PassOptions m_Pass;
   // Longest time for which a report of an idle target waits for orders. The
   // target drops an answer that takes longer than a second.
@@ -58,6 +60,7 @@
 // The leader's working state; a new leader starts with an empty one.
 struct Polling {
   roster::Roster m_Roster;
+  roster::Health m_Health;
   // Runs that are being stopped for others.
   std::map<workflow::TaskKey, std::uint32_t> m_Displaced;
   // Runs whose end was proposed and is not durable yet.
@@ -81,6 +84,8 @@
   std::vector<Command> m_Commands;
   // What the pass decided, for the log.
   std::vector<assignment::Displacement> m_Displacements;
+  // Runs that are stopped because they stand still.
+  std::vector<roster::RunningTask> m_Stalled;
 
   friend bool operator==(const PollingStep &, const PollingStep &) = default;
 };
--- a/packages/emulator/target.cpp
+++ b/packages/emulator/target.cpp
@@ -1,5 +1,7 @@
 #include "emulator/target.h"
 
+#include <algorithm>
+
 namespace fireflydrift::emulator {
 
 Target::Target(core::TargetId Id, std::uint64_t Incarnation, std::string Rack,
@@ -11,6 +13,14 @@
   return {.m_Target = m_Id, .m_Incarnation = m_Incarnation};
 }
 
+static std::int32_t percentOf(const Run &Value, core::Time Now) {
+  constexpr std::int64_t Whole = 100;
+  auto Length =
+      std::max<std::int64_t>((Value.m_EndsAt - Value.m_BeginsAt).count(), 1);
+  return static_cast<std::int32_t>((Now - Value.m_BeginsAt).count() * Whole /
+                                   Length);
+}
+
 roster::Report Target::report(core::Time Now) {
   roster::Report Value{.m_Target = m_Id,
                        .m_Incarnation = m_Incarnation,
@@ -23,7 +33,9 @@
   // An order that waits to be carried out does not show yet.
   for (const auto &[Key, Each] : m_Runs)
     if (Each.m_BeginsAt <= Now)
-      Value.m_Running.push_back({.m_Task = Key, .m_Run = Each.m_Number});
+      Value.m_Running.push_back({.m_Task = Key,
+                                 .m_Run = Each.m_Number,
+                                 .m_Percent = percentOf(Each, Now)});
   return Value;
 }
 
--- /dev/null
+++ b/packages/roster/health.cpp
@@ -0,0 +1,59 @@
+#include "roster/health.h"
+
+namespace fireflydrift::roster {
+
+bool Health::isSuspect(const core::TargetId &Id, const HealthOptions &Options,
+                       core::Time Now) const {
+  auto Found = m_Records.find(Id);
+  return Found != m_Records.end() &&
+         Found->second.m_FailuresInARow >= Options.m_SuspectAfter &&
+         Now - Found->second.m_LastFailure < Options.m_SuspectFor;
+}
+
+std::vector<RunningTask> Health::stalled(const Report &Value,
+                                         const HealthOptions &Options,
+                                         core::Time Now) const {
+  std::vector<RunningTask> Found;
+  auto Known = m_Progress.find(Value.m_Target);
+  if (Known == m_Progress.end())
+    return Found;
+  for (const RunningTask &Each : Value.m_Running) {
+    auto Last = Known->second.find(Each.m_Task);
+    bool Stalled = Last != Known->second.end() &&
+                   Last->second.m_Run == Each.m_Run &&
+                   Now - Last->second.m_Since >= Options.m_StalledAfter;
+    if (Stalled)
+      Found.push_back(Each);
+  }
+  return Found;
+}
+
+Health Health::ended(const core::TargetId &Id, EndCause Why,
+                     core::Time Now) && {
+  if (Why == EndCause::Done) {
+    m_Records.erase(Id);
+  } else if (Why == EndCause::Failed) {
+    Record &Known = m_Records[Id];
+    ++Known.m_FailuresInARow;
+    Known.m_LastFailure = Now;
+  }
+  return std::move(*this);
+}
+
+Health Health::reported(const Report &Value, core::Time Now) && {
+  std::map<workflow::TaskKey, Progress> Next;
+  std::map<workflow::TaskKey, Progress> &Known = m_Progress[Value.m_Target];
+  for (const RunningTask &Each : Value.m_Running) {
+    auto Last = Known.find(Each.m_Task);
+    bool Same = Last != Known.end() && Last->second.m_Run == Each.m_Run &&
+                Last->second.m_Percent == Each.m_Percent;
+    Next.emplace(Each.m_Task, Same ? Last->second
+                                   : Progress{.m_Run = Each.m_Run,
+                                              .m_Percent = Each.m_Percent,
+                                              .m_Since = Now});
+  }
+  Known = std::move(Next);
+  return std::move(*this);
+}
+
+} // namespace fireflydrift::roster
--- a/packages/runtime/events.cpp
+++ b/packages/runtime/events.cpp
@@ -48,6 +48,7 @@
       {Event::RunStopping, Severity::Info, "run_stopping"},
       {Event::RunEnded, Severity::Info, "run_ended"},
       {Event::RunDisplaced, Severity::Info, "run_displaced"},
+      {Event::RunStalled, Severity::Info, "run_stalled"},
       {Event::TargetAnnounced, Severity::Info, "target_announced"},
       {Event::TargetLost, Severity::Warning, "target_lost"},
       {Event::TargetLeaving, Severity::Info, "target_leaving"},
--- a/packages/runtime/events.h
+++ b/packages/runtime/events.h
@@ -38,6 +38,7 @@
   RunStopping = 2014,
   RunEnded = 2015,
   RunDisplaced = 2016,
+  RunStalled = 2017,
   TargetAnnounced = 3001,
   TargetLost = 3002,
   TargetLeaving = 3003,
--- a/packages/runtime/poll_host.cpp
+++ b/packages/runtime/poll_host.cpp
@@ -76,6 +76,11 @@
   control::PollingStep Next = control::polled(*std::move(m_Polling), State,
                                               std::move(Value), m_Options, Now);
   m_Polling = std::move(Next.m_Polling);
+  for (const roster::RunningTask &Each : Next.m_Stalled)
+    logEvent(Event::RunStalled, {{"task", workflow::toString(Each.m_Task)},
+                                 {"run", std::to_string(Each.m_Run)},
+                                 {"percent", std::to_string(Each.m_Percent)},
+                                 {"target", Id.text()}});
   m_Propose(std::move(Next.m_Commands));
   const roster::Member *From = m_Polling->m_Roster.find(Id);
   control::OrdersNow Said =
