--- a/packages/roster/health.cpp
+++ b/packages/roster/health.cpp
@@ -2,6 +2,8 @@
 
 namespace fireflydrift::roster {
 
+static constexpr std::int32_t WholePercent = 100;
+
 bool Health::isSuspect(const core::TargetId &Id, const HealthOptions &Options,
                        core::Time Now) const {
   auto Found = m_Records.find(Id);
@@ -19,7 +21,9 @@
     return Found;
   for (const RunningTask &Each : Value.m_Running) {
     auto Last = Known->second.find(Each.m_Task);
-    bool Stalled = Last != Known->second.end() &&
+    // Beyond its estimate a run shows no progress any more.
+    bool Stalled = Each.m_Percent < WholePercent &&
+                   Last != Known->second.end() &&
                    Last->second.m_Run == Each.m_Run &&
                    Now - Last->second.m_Since >= Options.m_StalledAfter;
     if (Stalled)
--- a/packages/roster/report.h
+++ b/packages/roster/report.h
@@ -13,7 +13,7 @@
   std::uint32_t m_Run = 0;
   // Newest saved progress; empty for none.
   std::string m_Saved;
-  // Progress of the run, 0 to 100.
+  // Work done, in hundredths of the declared run time; 100 from then on.
   std::int32_t m_Percent = 0;
 
   friend bool operator==(const RunningTask &, const RunningTask &) = default;
--- a/tests/roster/health_test.cpp
+++ b/tests/roster/health_test.cpp
@@ -40,3 +40,13 @@
   Value = std::move(Value).reported(Said, Later);
   EXPECT_TRUE(Value.stalled(Said, Options, Later).empty());
 }
+
+// Declared run times are far off: a run beyond its own says nothing more.
+TEST(Health, ARunBeyondItsEstimateIsNotStalled) {
+  Report Said{.m_Target = Target,
+              .m_Running = {{.m_Task = {core::RequestId("w"), 0, 0},
+                             .m_Run = 1,
+                             .m_Percent = 100}}};
+  Health Value = Health().reported(Said, at(0));
+  EXPECT_TRUE(Value.stalled(Said, Options, at(60000)).empty());
+}
