--- a/packages/runtime/poll_host.cpp
+++ b/packages/runtime/poll_host.cpp
@@ -89,7 +89,7 @@
                .m_ReportedAt = Now,
                .m_Until = Now + Said.m_MayWait};
   if (Said.m_IsUrgent || Said.m_MayWait <= core::Duration::zero())
-    answer(Id, std::move(Waiting), std::move(Said.m_Orders), State, Now);
+    answer(Id, Waiting, Said.m_Orders, State, Now);
   else
     m_Held.emplace(Id, std::move(Waiting));
 }
@@ -119,13 +119,13 @@
   m_Counters.add("fireflydrift_stops_total", Orders.m_Stops.size());
 }
 
-void PollHost::answer(const core::TargetId &Id, Held Value,
-                      roster::Orders Orders, const control::State &State,
+void PollHost::answer(const core::TargetId &Id, const Held &Value,
+                      const roster::Orders &Orders, const control::State &State,
                       core::Time Now) {
   m_Polling = control::answered(*std::move(m_Polling), State, Id, Orders,
                                 m_Options, Value.m_ReportedAt, Now);
   logOrders(Id, Orders);
-  Value.m_Answer(std::move(Orders));
+  Value.m_Answer(Orders);
 }
 
 void PollHost::answerHeld(const control::State &State, core::Time Now) {
@@ -145,8 +145,7 @@
     }
     auto Taken = m_Held.extract(Each++);
     if (To)
-      answer(Taken.key(), std::move(Taken.mapped()), std::move(Said.m_Orders),
-             State, Now);
+      answer(Taken.key(), Taken.mapped(), Said.m_Orders, State, Now);
     else
       Taken.mapped().m_Answer(std::nullopt);
   }
--- a/packages/runtime/poll_host.h
+++ b/packages/runtime/poll_host.h
@@ -44,8 +44,9 @@
     core::Time m_Until;
   };
 
-  void answer(const core::TargetId &Id, Held Value, roster::Orders Orders,
-              const control::State &State, core::Time Now);
+  void answer(const core::TargetId &Id, const Held &Value,
+              const roster::Orders &Orders, const control::State &State,
+              core::Time Now);
   void answerHeld(const control::State &State, core::Time Now);
   void logOrders(const core::TargetId &Id, const roster::Orders &Orders);
 
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -60,13 +60,11 @@
       : m_Loop(On), m_Options(std::move(Values)), m_Client(On) {
     constexpr int Workers = 4;
     for (int I = 0; I < Workers; ++I)
-      m_Workers.push_back(
-          {.m_Id = "i-" + std::to_string(I),
-           .m_Control = static_cast<std::size_t>(I)});
+      m_Workers.push_back({.m_Id = "i-" + std::to_string(I),
+                           .m_Control = static_cast<std::size_t>(I)});
     for (int I = 0; I < m_Options.m_Jobs; ++I) {
       std::string Number = std::to_string(I);
-      m_Jobs.push_back(
-          {.m_Id = std::string(16 - Number.size(), '0') + Number});
+      m_Jobs.push_back({.m_Id = std::string(16 - Number.size(), '0') + Number});
     }
   }
 
@@ -104,11 +102,11 @@
     if (m_ManifestTaken || m_ManifestInFlight || Now < m_ManifestAt)
       return;
     m_ManifestInFlight = true;
-    Json Route{{"name", "q"},          {"host", m_Options.m_Entry},
-               {"pathPrefix", "/q/"},  {"kind", "non_idempotent"},
-               {"timeoutMs", 3000},    {"targetLatencyMs", 1000},
-               {"priority", 1},        {"service", "pool"},
-               {"maxAttempts", 3},     {"slackFactor", 2.0},
+    Json Route{{"name", "q"},         {"host", m_Options.m_Entry},
+               {"pathPrefix", "/q/"}, {"kind", "non_idempotent"},
+               {"timeoutMs", 3000},   {"targetLatencyMs", 1000},
+               {"priority", 1},       {"service", "pool"},
+               {"maxAttempts", 3},    {"slackFactor", 2.0},
                {"public", true}};
     Json Body{{"version", 1},
               {"routes", {Route}},
@@ -152,29 +150,30 @@
     Json Running = Json::array();
     for (const auto &[Name, Value] : Of.m_Runs)
       Running.push_back({Name, Value.m_Number, "", 50});
-    Json Body{{"service", "pool"},
-              {"address", Of.m_Id + ":80"},
-              {"zone", "z"},
-              {"state", "ready"},
-              {"born", 1},
-              {"sequence", ++Of.m_Sequence},
-              {"labels", {"a", "r1"}},
-              {"capacity",
-               {{"cpu", 8000}, {"memoryLimitMb", 8000}, {"gpu", 4}}},
-              {"running", Running},
-              {"ended", Of.m_Ended}};
+    Json Body{
+        {"service", "pool"},
+        {"address", Of.m_Id + ":80"},
+        {"zone", "z"},
+        {"state", "ready"},
+        {"born", 1},
+        {"sequence", ++Of.m_Sequence},
+        {"labels", {"a", "r1"}},
+        {"capacity", {{"cpu", 8000}, {"memoryLimitMb", 8000}, {"gpu", 4}}},
+        {"running", Running},
+        {"ended", Of.m_Ended}};
     constexpr core::Duration AnswerWithin{1000};
-    m_Client.send({.m_Method = "PUT",
-                   .m_Host = m_Options.m_Controls[Of.m_Control %
-                                                  m_Options.m_Controls.size()],
-                   .m_Port = m_Options.m_ControlPort,
-                   .m_Path = "/-/instances/" + Of.m_Id,
-                   .m_Body = Body.dump(),
-                   .m_Timeout = AnswerWithin},
-                  [this, &Of, Now](const std::optional<HttpAnswer> &Answer) {
-                    Of.m_InFlight = false;
-                    take(Of, Answer, Now);
-                  });
+    m_Client.send(
+        {.m_Method = "PUT",
+         .m_Host =
+             m_Options.m_Controls[Of.m_Control % m_Options.m_Controls.size()],
+         .m_Port = m_Options.m_ControlPort,
+         .m_Path = "/-/instances/" + Of.m_Id,
+         .m_Body = Body.dump(),
+         .m_Timeout = AnswerWithin},
+        [this, &Of, Now](const std::optional<HttpAnswer> &Answer) {
+          Of.m_InFlight = false;
+          take(Of, Answer, Now);
+        });
   }
 
   void take(Worker &Of, const std::optional<HttpAnswer> &Answer,
@@ -203,8 +202,7 @@
       start(Of, Each[0].get<std::string>(), Each[1].get<int>(), Now);
   }
 
-  void start(Worker &Of, const std::string &Name, int Number,
-             core::Time Now) {
+  void start(Worker &Of, const std::string &Name, int Number, core::Time Now) {
     if (Of.m_Runs.contains(Name))
       return;
     if (Of.m_Barred.contains(Name) && Number <= Of.m_Barred[Name])
@@ -230,9 +228,9 @@
   void follow(Job &Of, core::Time Now) {
     Of.m_InFlight = true;
     Of.m_NextAt = Now + TaskRetry;
-    Json Step{{"count", TasksPerJob}, {"cpu", 500},     {"gpu", 1},
-              {"memoryLimitMb", 100}, {"estimatedMs", 300},
-              {"gangScheduled", true}};
+    Json Step{
+        {"count", TasksPerJob}, {"cpu", 500},         {"gpu", 1},
+        {"memoryLimitMb", 100}, {"estimatedMs", 300}, {"gangScheduled", true}};
     Json Body{{"spec", "work"}, {"steps", {Step}}};
     m_Client.send({.m_Method = Of.m_Accepted ? "GET" : "POST",
                    .m_Host = m_Options.m_Entry,
@@ -278,11 +276,11 @@
   if (Count != WordCount)
     return 2;
   std::signal(SIGPIPE, SIG_IGN);
-  Options Values{
-      .m_ControlPort = static_cast<std::uint16_t>(std::stoi(Words[2])),
-      .m_Entry = Words[3],
-      .m_EntryPort = static_cast<std::uint16_t>(std::stoi(Words[4])),
-      .m_Jobs = std::stoi(Words[5])};
+  Options Values{.m_ControlPort =
+                     static_cast<std::uint16_t>(std::stoi(Words[2])),
+                 .m_Entry = Words[3],
+                 .m_EntryPort = static_cast<std::uint16_t>(std::stoi(Words[4])),
+                 .m_Jobs = std::stoi(Words[5])};
   std::istringstream Hosts(Words[1]);
   std::string Host;
   while (std::getline(Hosts, Host, ','))
