--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -101,6 +101,8 @@
   workflow::Phase m_From = workflow::Phase::Active;
   workflow::Phase m_To = workflow::Phase::Active;
   bool m_Accepted = false;
+  // True when its first tasks were assigned.
+  bool m_Begun = false;
 
   friend bool operator==(const WorkflowChange &,
                          const WorkflowChange &) = default;
--- a/packages/control/workflows.cpp
+++ b/packages/control/workflows.cpp
@@ -73,6 +73,7 @@
     return Why;
   Indexes &Index = W.indexes();
   workflow::Phase From = Found->second.phase();
+  bool HadBegun = Found->second.fields().m_Begun;
   if (Step)
     forStep(Found->second, *Step, [&](const auto &Key, const auto &Task) {
       unindexTask(Index, Key, Task);
@@ -87,7 +88,10 @@
     indexPhase(Index, Found->second);
   }
   W.m_Out.m_WorkflowChanges.push_back(
-      {.m_Workflow = Id, .m_From = From, .m_To = Found->second.phase()});
+      {.m_Workflow = Id,
+       .m_From = From,
+       .m_To = Found->second.phase(),
+       .m_Begun = !HadBegun && Found->second.fields().m_Begun});
   return {};
 }
 
--- a/packages/runtime/counters.cpp
+++ b/packages/runtime/counters.cpp
@@ -1,7 +1,56 @@
 #include "runtime/counters.h"
 
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <vector>
+
 namespace fireflydrift::runtime {
 
+namespace histogram = boost::histogram;
+
+using Histogram =
+    histogram::histogram<std::tuple<histogram::axis::variable<double>>,
+                         histogram::unlimited_storage<>>;
+
+// Upper bounds of the buckets, in milliseconds.
+static const std::vector<double> &bounds() {
+  static const std::vector<double> Bounds{
+      0, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000};
+  return Bounds;
+}
+
+namespace {
+
+// One histogram with the sum of what it was given.
+struct Observed {
+  Histogram m_Buckets{
+      std::make_tuple(histogram::axis::variable<double>(bounds()))};
+  std::uint64_t m_Sum = 0;
+  std::uint64_t m_Count = 0;
+};
+
+} // namespace
+
+struct Counters::Histograms {
+  std::map<std::string, Observed> m_All;
+};
+
+Counters::Counters() : m_Histograms(std::make_unique<Histograms>()) {}
+Counters::~Counters() = default;
+
+const std::map<std::string, std::string> &allHistograms() {
+  static const std::map<std::string, std::string> Metrics{
+      {"fireflydrift_commit_ms", "Time from a proposal until it was applied"},
+      {"fireflydrift_forward_ms",
+       "Time from a caller's operation until its reply"},
+      {"fireflydrift_report_held_ms",
+       "Time for which a target's report waited for its answer"},
+      {"fireflydrift_start_wait_ms",
+       "Time from a workflow's acceptance to its first assignment"},
+  };
+  return Metrics;
+}
+
 const std::map<std::string, std::string> &allMetrics() {
   static const std::map<std::string, std::string> Metrics{
       {"fireflydrift_commits_total", "Log entries committed and applied"},
@@ -42,6 +91,26 @@
   return Value == Found->second.end() ? 0 : Value->second;
 }
 
+// Buckets count everything up to their bound, as the usual format has it.
+static void addHistogram(std::string &Out, const std::string &Name,
+                         const std::string &Help, const Observed &Value) {
+  Out.append("# HELP ").append(Name).append(" ").append(Help);
+  Out.append("\n# TYPE ").append(Name).append(" histogram\n");
+  std::uint64_t Below = 0;
+  for (std::size_t I = 1; I < bounds().size(); ++I) {
+    Below += static_cast<std::uint64_t>(
+        static_cast<double>(Value.m_Buckets.at(static_cast<int>(I) - 1)));
+    Out.append(Name).append("_bucket{le=\"");
+    Out.append(std::to_string(static_cast<std::uint64_t>(bounds()[I])));
+    Out.append("\"} ").append(std::to_string(Below)).append("\n");
+  }
+  std::string Count = std::to_string(Value.m_Count);
+  Out.append(Name).append("_bucket{le=\"+Inf\"} ").append(Count);
+  Out.append("\n").append(Name).append("_sum ");
+  Out.append(std::to_string(Value.m_Sum)).append("\n");
+  Out.append(Name).append("_count ").append(Count).append("\n");
+}
+
 std::string Counters::text() const {
   std::string Out;
   for (const auto &[Name, Help] : allMetrics()) {
@@ -60,6 +129,8 @@
       Out.append(" ").append(std::to_string(Value)).append("\n");
     }
   }
+  for (const auto &[Name, Help] : allHistograms())
+    addHistogram(Out, Name, Help, m_Histograms->m_All[Name]);
   return Out;
 }
 
@@ -68,6 +139,15 @@
   m_Values[Name][Label] += More;
 }
 
+void Counters::observe(const std::string &Name, core::Duration Took) {
+  Observed &Into = m_Histograms->m_All[Name];
+  auto Ms = static_cast<std::uint64_t>(
+      std::max<core::Duration::rep>(Took.count(), 0));
+  Into.m_Buckets(static_cast<double>(Ms));
+  Into.m_Sum += Ms;
+  ++Into.m_Count;
+}
+
 void Counters::set(const std::string &Name, std::uint64_t Value,
                    const std::string &Label) {
   m_Values[Name][Label] = Value;
--- a/packages/runtime/counters.h
+++ b/packages/runtime/counters.h
@@ -2,8 +2,11 @@
 #ifndef FIREFLYDRIFT_RUNTIME_COUNTERS_H
 #define FIREFLYDRIFT_RUNTIME_COUNTERS_H
 
+#include "core/time.h"
+
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace fireflydrift::runtime {
@@ -11,9 +14,17 @@
 // Names and help texts of all metrics, in the order in which they are printed.
 [[nodiscard]] const std::map<std::string, std::string> &allMetrics();
 
+// Names and help texts of all latency histograms, in milliseconds.
+[[nodiscard]] const std::map<std::string, std::string> &allHistograms();
+
 // Values by metric and label text, such as `vm="b"`.
 class Counters {
 public:
+  Counters();
+  ~Counters();
+  Counters(const Counters &) = delete;
+  Counters &operator=(const Counters &) = delete;
+
   // The value; zero for one that was never set.
   [[nodiscard]] std::uint64_t value(const std::string &Name,
                                     const std::string &Label = "") const;
@@ -24,11 +35,14 @@
            const std::string &Label = "");
   void set(const std::string &Name, std::uint64_t Value,
            const std::string &Label = "");
-
-  friend bool operator==(const Counters &, const Counters &) = default;
+  // Adds one observation to a latency histogram.
+  void observe(const std::string &Name, core::Duration Took);
 
 private:
+  struct Histograms;
+
   std::map<std::string, std::map<std::string, std::uint64_t>> m_Values;
+  std::unique_ptr<Histograms> m_Histograms;
 };
 
 } // namespace fireflydrift::runtime
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -48,16 +48,18 @@
   m_Admission = routing::taken(std::move(m_Admission), Holder);
   m_Held.emplace(Id, Held{.m_Operation = std::move(Value),
                           .m_Holder = Holder,
-                          .m_Callback = std::move(Callback)});
+                          .m_Callback = std::move(Callback),
+                          .m_Since = Now});
   m_Forwarding = routing::added(std::move(m_Forwarding), Id, Deadline, Now);
 }
 
-void Entry::complete(std::uint64_t Id, control::Reply Value) {
+void Entry::complete(std::uint64_t Id, control::Reply Value, core::Time Now) {
   auto Found = m_Held.find(Id);
   // A second reply to a repeated operation.
   if (Found == m_Held.end())
     return;
   Held Done = std::move(Found->second);
+  m_Counters.observe("fireflydrift_forward_ms", Now - Done.m_Since);
   m_Held.erase(Found);
   m_Forwarding = routing::removed(std::move(m_Forwarding), Id);
   m_Admission = routing::finished(std::move(m_Admission), Done.m_Holder);
@@ -127,7 +129,7 @@
                        .m_Id = Id, .m_Operation = Found->second.m_Operation});
   }
   for (const routing::Expired &Each : Next.m_Expired)
-    complete(Each.m_Id, control::Failure{expiryReason(Each)});
+    complete(Each.m_Id, control::Failure{expiryReason(Each)}, Now);
 }
 
 // ---- Targets ---------------------------------------------------------------
--- a/packages/runtime/entry.h
+++ b/packages/runtime/entry.h
@@ -56,7 +56,7 @@
   void submit(control::Operation Value, const core::WorkspaceId &Holder,
               OnReply Callback, core::Time Now,
               std::optional<core::Duration> Within = std::nullopt);
-  void complete(std::uint64_t Id, control::Reply Value);
+  void complete(std::uint64_t Id, control::Reply Value, core::Time Now);
   void bounced(std::uint64_t Id, core::Time Now);
   // A leader that holds its lease confirmed this VM's configuration.
   void heardLeader(core::Time Now);
@@ -75,6 +75,7 @@
     control::Operation m_Operation;
     core::WorkspaceId m_Holder;
     OnReply m_Callback;
+    core::Time m_Since;
   };
 
   void forward(const core::VmId &Leader, core::Time Now);
--- a/packages/runtime/leader_host.cpp
+++ b/packages/runtime/leader_host.cpp
@@ -47,6 +47,7 @@
   for (const auto &[From, Each] : m_Fetches)
     m_Hooks.m_Bounce(From);
   m_AwaitApplied.clear();
+  m_ProposedAt.clear();
   m_Proposals.clear();
   m_ProposalWaiters.clear();
   m_Fetches.clear();
@@ -119,6 +120,7 @@
                        .m_Commands = std::exchange(m_Proposals, {})};
   std::uint64_t Index = m_Hooks.m_Propose(Value);
   m_AwaitApplied.emplace(Index, std::exchange(m_ProposalWaiters, {}));
+  m_ProposedAt.emplace(Index, Now);
   if (std::exchange(m_PassProposed, false))
     m_PassIndex = Index;
   if (std::exchange(m_PollPassProposed, false))
@@ -144,6 +146,9 @@
   m_AppliedIndex = Index;
   if (!m_Leader)
     return;
+  if (auto Proposed = m_ProposedAt.extract(Index); !Proposed.empty())
+    m_Counters.observe("fireflydrift_commit_ms", Now - Proposed.mapped());
+  observeStarts(Result, State);
   logChanges(Result, State);
   logTargetChanges(Result);
   logWorkflows(Result, State);
@@ -301,6 +306,18 @@
   }
 }
 
+// How long workflows waited whose first tasks were assigned just now.
+void LeaderHost::observeStarts(const control::Applied &Result,
+                               const control::State &State) {
+  for (const control::WorkflowChange &Each : Result.m_WorkflowChanges) {
+    const workflow::Workflow *Found =
+        control::findWorkflow(State, Each.m_Workflow);
+    if (Found && Each.m_Begun)
+      m_Counters.observe("fireflydrift_start_wait_ms",
+                         State.m_Tables.m_At - Found->fields().m_AcceptedAt);
+  }
+}
+
 void LeaderHost::logWorkflows(const control::Applied &Result,
                               const control::State &State) {
   for (const control::WorkflowChange &Each : Result.m_WorkflowChanges) {
--- a/packages/runtime/leader_host.h
+++ b/packages/runtime/leader_host.h
@@ -96,6 +96,8 @@
   void expireFetches(const control::State &State, core::Time Now);
   void logNews(const placement::Decision &Value);
   void logChanges(const control::Applied &Result, const control::State &State);
+  void observeStarts(const control::Applied &Result,
+                     const control::State &State);
   void logWorkflows(const control::Applied &Result,
                     const control::State &State);
   void logGuarantees();
@@ -111,6 +113,8 @@
   std::vector<control::Command> m_Proposals;
   Waiters m_ProposalWaiters;
   std::map<std::uint64_t, Waiters> m_AwaitApplied;
+  // When each batch that is not applied yet was proposed.
+  std::map<std::uint64_t, core::Time> m_ProposedAt;
   std::map<Origin, FetchWaiter> m_Fetches;
   // The newest batch that holds a pass's commands; passes wait for it.
   std::uint64_t m_PassIndex = 0;
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -247,7 +247,7 @@
 }
 
 void Node::handle(const core::VmId &, messages::OperationReply &Value) {
-  m_Entry.complete(Value.m_Id, std::move(Value.m_Reply));
+  m_Entry.complete(Value.m_Id, std::move(Value.m_Reply), now());
 }
 
 void Node::handle(const core::VmId &, messages::NotLeader &Value) {
--- a/packages/runtime/poll_host.cpp
+++ b/packages/runtime/poll_host.cpp
@@ -124,6 +124,7 @@
                       core::Time Now) {
   m_Polling = control::answered(*std::move(m_Polling), State, Id, Orders,
                                 m_Options, Value.m_ReportedAt, Now);
+  m_Counters.observe("fireflydrift_report_held_ms", Now - Value.m_ReportedAt);
   logOrders(Id, Orders);
   Value.m_Answer(Orders);
 }
