Take back: urgent work waits for ends in time

Tried so that less work is thrown away: an urgent step holds room instead of stopping others when estimates say that it fits within half of its slack. Declared run times are off by 20 to 90%, so the wait was often in vain and the stop came later anyway. Ruled out: the hold itself (other work used the rest of the rack). Conclusion: stopping at once is right here.

--- a/packages/assignment/pass.cpp
+++ b/packages/assignment/pass.cpp
@@ -109,20 +109,6 @@
   return true;
 }
 
-// Holds room for an urgent demand that can wait for running tasks to end: half
-// of the time that it may still lose is left for estimates that are off.
-static bool awaitEnds(Work &W, const Demand &For, const RoomIndexes &Suitable) {
-  core::Duration Slack =
-      objectiveOf(*For.m_Workflow) - For.m_Remaining - W.m_Now;
-  if (Slack <= core::Duration::zero())
-    return false;
-  auto Kept = holdFor(W.m_Rooms, Suitable, For, W.m_Now);
-  if (!Kept || Kept->m_Until > W.m_Now + Slack / 2)
-    return false;
-  W.m_Holds.push_back(*std::move(Kept));
-  return true;
-}
-
 // Stops other work for an urgent demand. Returns false when no stop helps.
 static bool displace(Work &W, const Demand &For, const RoomIndexes &Suitable) {
   if (W.m_Displacing >= W.m_Options.m_MaxDisplacing)
@@ -169,8 +155,7 @@
                           static_cast<std::ptrdiff_t>(Chosen.size()));
   bool Urgent = For.terms().m_Priority == 0 && W.m_Options.m_Displaces;
   bool Helped =
-      Urgent && (awaitRoom(W, For, Suitable) || awaitEnds(W, For, Suitable) ||
-                 displace(W, For, Suitable));
+      Urgent && (awaitRoom(W, For, Suitable) || displace(W, For, Suitable));
   if (!Helped && Gang)
     hold(W, For, Suitable);
 }
