Spread a gang that waits for a rack in an idle pool

Now it spreads once it has waited two seconds while more than half of the pool is idle; while the pool is busy it waits as before. The test fails without it.

--- a/packages/assignment/fit.cpp
+++ b/packages/assignment/fit.cpp
@@ -154,7 +154,7 @@
 bool needsOneRack(const std::vector<Room> &All, const RoomIndexes &Suitable,
                   const Demand &For) {
   const workflow::StepSpec &Step = For.spec();
-  if (!Step.m_Gang || !Step.m_OneRack)
+  if (!Step.m_Gang || !Step.m_OneRack || For.m_Spread)
     return false;
   Places Empty = placesIn(All, Suitable, For, freeWhenEmpty);
   std::map<std::string, Places> Racks = byRack(All, Empty);
--- a/packages/assignment/pass.cpp
+++ b/packages/assignment/pass.cpp
@@ -135,12 +135,30 @@
   return awaitRoom(W, For, Suitable);
 }
 
+// True when the gang has waited long enough for a rack in a pool that is mostly
+// idle: its room may be scattered over the racks for good.
+static bool maySpread(const Work &W, const Demand &For,
+                      const RoomIndexes &Suitable) {
+  std::int64_t Free = 0;
+  std::int64_t Total = 0;
+  for (std::size_t Index : Suitable) {
+    Free += W.m_Rooms[Index].m_Free.m_Accelerators;
+    Total += W.m_Rooms[Index].m_Total.m_Accelerators;
+  }
+  return For.m_Waited >= W.m_Options.m_SpreadAfter && Free * 2 > Total;
+}
+
 static void decide(Work &W, Demand For) {
   RoomIndexes Suitable = suitableRooms(W.m_Rooms, For);
   RoomIndexes Open = withoutHeld(W, Suitable, For);
   bool Gang = For.spec().m_Gang;
   RoomIndexes Chosen = Gang ? fitGang(W.m_Rooms, Open, For, freeNow)
                             : fitSingles(W.m_Rooms, Open, For, freeNow);
+  if (Gang && Chosen.empty() && maySpread(W, For, Suitable)) {
+    For.m_Spread = true;
+    Chosen = fitGang(W.m_Rooms, Open, For, freeNow);
+    For.m_Spread = false;
+  }
   if (!Chosen.empty()) {
     if (Gang)
       assignGang(W, For, Chosen);
--- a/packages/assignment/pass.h
+++ b/packages/assignment/pass.h
@@ -18,6 +18,9 @@
   std::size_t m_Holds = 3;
   // Steps that may be decided in one pass; the rest wait for the next.
   std::size_t m_MaxDemands = 400;
+  // While most accelerators are idle, a gang that has waited for so long for
+  // one rack runs over several: slower, but it runs.
+  core::Duration m_SpreadAfter{2000};
   // Urgent steps for which work is stopped in one pass.
   std::size_t m_MaxDisplacing = 4;
 
--- a/packages/assignment/view.h
+++ b/packages/assignment/view.h
@@ -58,6 +58,8 @@
   // True for urgent work within what its workspace has reserved: such room
   // belongs to it whoever uses it.
   bool m_Reserved = false;
+  // True when the gang is to run over several racks after all.
+  bool m_Spread = false;
   // How long the workflow has waited since it was accepted.
   core::Duration m_Waited{0};
 
--- a/tests/assignment/pass_test.cpp
+++ b/tests/assignment/pass_test.cpp
@@ -109,6 +109,25 @@
   EXPECT_EQ(Out.m_Waiting, 1U);
 }
 
+// Small tasks on every rack must not keep a gang from mostly idle targets for
+// ever.
+TEST_F(Pass, AGangThatWaitedInAnIdlePoolIsSpread) {
+  for (const char *Rack : {"r0", "r1", "r2"}) {
+    m_Names.push_back(std::string("busy-") + Rack);
+    addRoom(m_Names.back().c_str(), Rack, {7, 64000, 256000});
+    m_Names.push_back(std::string("idle-") + Rack);
+    addRoom(m_Names.back().c_str(), Rack, {8, 64000, 256000});
+  }
+  Demand Gang = demand(add("w", gang(2, 8), 1));
+  EXPECT_TRUE(run({Gang}).m_Assignments.empty());
+  Gang.m_Waited = PassOptions().m_SpreadAfter;
+  EXPECT_EQ(run({Gang}).m_Assignments.size(), 1U);
+  // While the pool is busy it goes on waiting for a rack.
+  for (std::size_t I = 0; I < m_Rooms.size(); I += 2)
+    m_Rooms[I].m_Free = {};
+  EXPECT_TRUE(run({Gang}).m_Assignments.empty());
+}
+
 TEST_F(Pass, AGangLargerThanEveryRackIsSpread) {
   addEmptyRacks(2);
   PassResult Out = run({demand(add("w", gang(4, 8), 1))});
