Check that a reported task exists before its step is looked up

Found by reading the change: a report that names a workflow of ours with a step that it does not have, and shows no progress for a while, made the leader read past the end of the steps.

--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -44,6 +44,14 @@
   }
 }
 
+// For a task that is known to exist.
+static bool isLasting(const State &Current, const TaskKey &Key) {
+  return findWorkflow(Current, Key.m_Workflow)
+      ->spec()
+      .m_Steps[Key.m_Step]
+      .m_Lasting;
+}
+
 // Remembers how runs ended, and gives up those that stand still: what they
 // have saved is not lost, and elsewhere they get on.
 static void noticeHealth(PollingStep &Out, const State &Current,
@@ -59,12 +67,9 @@
   Self.m_Health = std::move(Self.m_Health).reported(Last, Now);
   for (roster::RunningTask &Each :
        Self.m_Health.stalled(Last, Options.m_Health, Now)) {
-    const workflow::Workflow *Of =
-        findWorkflow(Current, Each.m_Task.m_Workflow);
-    bool Lasting = Of && Of->spec().m_Steps[Each.m_Task.m_Step].m_Lasting;
     bool Wanted = isOut(Current, Each.m_Task, Each.m_Run, From.life()) &&
                   isWanted(Self, Current, Each.m_Task, Each.m_Run);
-    if (!Wanted || Lasting)
+    if (!Wanted || isLasting(Current, Each.m_Task))
       continue;
     Self.m_Displaced[Each.m_Task] = Each.m_Run;
     // A target where runs stand still is no better than one where they fail.
