One place each for groups of racks, for fitting, and for what a report shows

chooseVictims and holdFor grouped rooms by rack on their own (groupsFor serves both); three places chose between fitGang and fitSingles (fit); whether a report shows a run was asked in four ways (reportedRun, isUnseen); a stalled run was entered as several failures in a loop (Health::suspected); a comment in the face gave the wrong reason.

--- a/packages/assignment/displace.cpp
+++ b/packages/assignment/displace.cpp
@@ -34,15 +34,6 @@
 
 namespace {
 
-// Rooms among which a gang must find its place: one rack, or all.
-struct Group {
-  RoomIndexes m_Rooms;
-
-  [[nodiscard]] bool contains(std::size_t Room) const {
-    return std::binary_search(m_Rooms.begin(), m_Rooms.end(), Room);
-  }
-};
-
 struct Plan {
   std::vector<std::size_t> m_Victims;
   std::int64_t m_Cost = 0;
@@ -50,24 +41,24 @@
 
 } // namespace
 
-static std::int64_t freedIn(const Group &Where, const Victim &Value) {
+static std::int64_t freedIn(const RoomIndexes &Where, const Victim &Value) {
   std::int64_t Freed = 0;
   for (const auto &[Room, Capacity] : Value.m_Occupies)
-    if (Where.contains(Room))
+    if (std::binary_search(Where.begin(), Where.end(), Room))
       Freed += std::max<std::int64_t>(Capacity.m_Accelerators, 1);
   return Freed;
 }
 
 static bool fitsWith(const std::vector<Room> &All,
                      const std::vector<Victim> &Victims,
-                     const std::vector<std::size_t> &Chosen, const Group &Where,
-                     const Demand &For) {
+                     const std::vector<std::size_t> &Chosen,
+                     const RoomIndexes &Where, const Demand &For) {
   std::map<std::size_t, core::Capacity> Freed;
   for (std::size_t Each : Chosen)
     for (const auto &[Room, Capacity] : Victims[Each].m_Occupies)
       Freed[Room] = Freed[Room] + Capacity;
   std::uint64_t Fits = 0;
-  for (std::size_t Room : Where.m_Rooms) {
+  for (std::size_t Room : Where) {
     core::Capacity Free = freeSoon(All[Room]);
     if (auto More = Freed.find(Room); More != Freed.end())
       Free = Free + More->second;
@@ -78,7 +69,7 @@
 
 // Drops victims that turn out not to be needed, the dearest first.
 static void prune(const std::vector<Room> &All,
-                  const std::vector<Victim> &Victims, const Group &Where,
+                  const std::vector<Victim> &Victims, const RoomIndexes &Where,
                   const Demand &For, std::vector<std::size_t> &Chosen) {
   std::stable_sort(Chosen.begin(), Chosen.end(),
                    [&](std::size_t A, std::size_t B) {
@@ -96,7 +87,7 @@
 
 // Adds the cheapest victims by what they free until the demand fits.
 static Plan planIn(const std::vector<Room> &All,
-                   const std::vector<Victim> &Victims, const Group &Where,
+                   const std::vector<Victim> &Victims, const RoomIndexes &Where,
                    const Demand &For) {
   bool MayStopUrgent = For.m_Reserved && For.m_Waited >= DisplacesUrgentAfter;
   // Urgent work goes last of all.
@@ -128,13 +119,8 @@
                                        const std::vector<Victim> &Victims,
                                        const RoomIndexes &Suitable,
                                        const Demand &For) {
-  std::map<std::string, Group> Groups;
-  bool OneRack = needsOneRack(All, Suitable, For);
-  for (std::size_t Index : Suitable)
-    Groups[OneRack ? All[Index].m_Rack : std::string()].m_Rooms.push_back(
-        Index);
   Plan Best;
-  for (const auto &[Rack, Where] : Groups) {
+  for (const RoomIndexes &Where : groupsFor(All, Suitable, For)) {
     Plan Here = planIn(All, Victims, Where, For);
     bool Better = !Here.m_Victims.empty() &&
                   (Best.m_Victims.empty() || Here.m_Cost < Best.m_Cost);
--- a/packages/assignment/fit.cpp
+++ b/packages/assignment/fit.cpp
@@ -183,4 +183,25 @@
   return take(std::move(Found), Fits);
 }
 
+RoomIndexes fit(const std::vector<Room> &All, const RoomIndexes &Suitable,
+                const Demand &For, Available Capacity) {
+  return For.spec().m_Gang ? fitGang(All, Suitable, For, Capacity)
+                           : fitSingles(All, Suitable, For, Capacity);
+}
+
+std::vector<RoomIndexes> groupsFor(const std::vector<Room> &All,
+                                   const RoomIndexes &Suitable,
+                                   const Demand &For) {
+  if (!needsOneRack(All, Suitable, For))
+    return {Suitable};
+  std::map<std::string, RoomIndexes> Racks;
+  for (std::size_t Index : Suitable)
+    Racks[All[Index].m_Rack].push_back(Index);
+  std::vector<RoomIndexes> Groups;
+  Groups.reserve(Racks.size());
+  for (auto &[Rack, Rooms] : Racks)
+    Groups.push_back(std::move(Rooms));
+  return Groups;
+}
+
 } // namespace fireflydrift::assignment
--- a/packages/assignment/fit.h
+++ b/packages/assignment/fit.h
@@ -33,6 +33,17 @@
                                      const RoomIndexes &Suitable,
                                      const Demand &For, Available Capacity);
 
+// The room for the demand's tasks: of a gang all or none, else as many as fit.
+[[nodiscard]] RoomIndexes fit(const std::vector<Room> &All,
+                              const RoomIndexes &Suitable, const Demand &For,
+                              Available Capacity);
+
+// The groups of rooms, each of which could hold the whole demand: the racks
+// for a gang that needs one, else all rooms together.
+[[nodiscard]] std::vector<RoomIndexes> groupsFor(const std::vector<Room> &All,
+                                                 const RoomIndexes &Suitable,
+                                                 const Demand &For);
+
 // True when the gang wants one rack and some rack is large enough.
 [[nodiscard]] bool needsOneRack(const std::vector<Room> &All,
                                 const RoomIndexes &Suitable, const Demand &For);
--- a/packages/assignment/hold.cpp
+++ b/packages/assignment/hold.cpp
@@ -57,12 +57,8 @@
 std::optional<Hold> holdFor(const std::vector<Room> &All,
                             const RoomIndexes &Suitable, const Demand &For,
                             core::Time Now) {
-  std::map<std::string, RoomIndexes> Groups;
-  bool OneRack = needsOneRack(All, Suitable, For);
-  for (std::size_t Index : Suitable)
-    Groups[OneRack ? All[Index].m_Rack : std::string()].push_back(Index);
   std::optional<Hold> Best;
-  for (const auto &[Rack, Rooms] : Groups) {
+  for (const RoomIndexes &Rooms : groupsFor(All, Suitable, For)) {
     auto At = fitsAt(All, Rooms, For, Now);
     if (At && (!Best || *At < Best->m_Until))
       Best = Hold{.m_Rooms = {Rooms.begin(), Rooms.end()}, .m_Until = *At};
--- a/packages/assignment/pass.cpp
+++ b/packages/assignment/pass.cpp
@@ -100,9 +100,7 @@
 // Reserves room that is free or comes back soon. Returns false when that does
 // not suffice for all waiting tasks.
 static bool awaitRoom(Work &W, const Demand &For, const RoomIndexes &Suitable) {
-  RoomIndexes Soon = For.spec().m_Gang
-                         ? fitGang(W.m_Rooms, Suitable, For, freeSoon)
-                         : fitSingles(W.m_Rooms, Suitable, For, freeSoon);
+  RoomIndexes Soon = fit(W.m_Rooms, Suitable, For, freeSoon);
   if (Soon.size() != For.m_Waiting.size())
     return false;
   reserveSoon(W, For, Soon);
@@ -152,8 +150,7 @@
   RoomIndexes Suitable = suitableRooms(W.m_Rooms, For);
   RoomIndexes Open = withoutHeld(W, Suitable, For);
   bool Gang = For.spec().m_Gang;
-  RoomIndexes Chosen = Gang ? fitGang(W.m_Rooms, Open, For, freeNow)
-                            : fitSingles(W.m_Rooms, Open, For, freeNow);
+  RoomIndexes Chosen = fit(W.m_Rooms, Open, For, freeNow);
   if (Gang && Chosen.empty() && maySpread(W, For, Suitable)) {
     For.m_Spread = true;
     Chosen = fitGang(W.m_Rooms, Open, For, freeNow);
--- a/packages/control/orders.cpp
+++ b/packages/control/orders.cpp
@@ -1,8 +1,6 @@
 // What targets that fetch their orders are answered.
 #include "control/runs.h"
 
-#include <algorithm>
-
 namespace fireflydrift::control {
 
 using workflow::TaskKey;
@@ -27,8 +25,7 @@
   for (const TaskKey &Key : assignedTo(Current, To.m_Last.m_Target)) {
     const workflow::Workflow &Of = *findWorkflow(Current, Key.m_Workflow);
     const workflow::Task &Value = *Of.find(Key.m_Step, Key.m_Index);
-    bool Due = Value.m_Where == To.life() &&
-               !isReported(To.m_Last, Key, Value.m_Run) &&
+    bool Due = isUnseen(Current, To, Key, Value.m_Run) &&
                isWanted(Self, Current, Key, Value.m_Run);
     if (Due)
       Into.m_Starts.push_back({.m_Task = Key,
@@ -51,14 +48,6 @@
   }
 }
 
-// True when the run is assigned to this life and its newest report does not
-// show it.
-static bool isUnseen(const State &Current, const roster::Member &On,
-                     const TaskKey &Key, std::uint32_t Run) {
-  return isOut(Current, Key, Run, On.life()) &&
-         !isReported(On.m_Last, Key, Run);
-}
-
 static Unseen countOrder(Unseen &Known, std::uint32_t Run, core::Time Now) {
   if (Known.m_Run != Run)
     Known = {.m_Run = Run, .m_Since = Now};
--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -72,10 +72,8 @@
     if (!Wanted || isLasting(Current, Each.m_Task))
       continue;
     Self.m_Displaced[Each.m_Task] = Each.m_Run;
-    // A target where runs stand still is no better than one where they fail.
-    for (std::uint32_t I = 0; I < Options.m_Health.m_SuspectAfter; ++I)
-      Self.m_Health = std::move(Self.m_Health)
-                          .ended(Last.m_Target, roster::EndCause::Failed, Now);
+    Self.m_Health = std::move(Self.m_Health)
+                        .suspected(Last.m_Target, Options.m_Health, Now);
     Out.m_Stalled.push_back(std::move(Each));
   }
 }
@@ -132,10 +130,9 @@
   const roster::Member *Known = Self.m_Roster.find(Value.m_Where.m_Target);
   if (!Known || Known->life() != Value.m_Where)
     return {};
-  for (const roster::RunningTask &Each : Known->m_Last.m_Running)
-    if (Each.m_Task == Key && Each.m_Run == Value.m_Run)
-      return Each.m_Saved;
-  return {};
+  const roster::RunningTask *Seen =
+      reportedRun(Known->m_Last, Key, Value.m_Run);
+  return Seen ? Seen->m_Saved : std::string();
 }
 
 // Ends the runs of targets that can't be running anything any more.
--- a/packages/control/runs.cpp
+++ b/packages/control/runs.cpp
@@ -34,23 +34,31 @@
   return Found == Current.m_Indexes.m_Assigned.end() ? None : Found->second;
 }
 
-bool isReported(const roster::Report &Value, const TaskKey &Key,
-                std::uint32_t Run) {
-  auto Same = [&](const auto &Each) {
+const roster::RunningTask *reportedRun(const roster::Report &Value,
+                                       const TaskKey &Key, std::uint32_t Run) {
+  for (const roster::RunningTask &Each : Value.m_Running)
+    if (Each.m_Task == Key && Each.m_Run == Run)
+      return &Each;
+  return nullptr;
+}
+
+bool isUnseen(const State &Current, const roster::Member &On,
+              const TaskKey &Key, std::uint32_t Run) {
+  const std::vector<roster::EndedTask> &Ended = On.m_Last.m_Ended;
+  auto Same = [&](const roster::EndedTask &Each) {
     return Each.m_Task == Key && Each.m_Run == Run;
   };
-  return std::any_of(Value.m_Running.begin(), Value.m_Running.end(), Same) ||
-         std::any_of(Value.m_Ended.begin(), Value.m_Ended.end(), Same);
+  return isOut(Current, Key, Run, On.life()) &&
+         !reportedRun(On.m_Last, Key, Run) &&
+         std::none_of(Ended.begin(), Ended.end(), Same);
 }
 
 bool isWithdrawn(const Polling &Self, const State &Current,
                  const roster::Member &From, const TaskKey &Key,
                  const workflow::Task &Value) {
-  bool Unseen = Value.m_Where == From.life() &&
-                !isReported(From.m_Last, Key, Value.m_Run);
   bool Wanted =
       isWanted(Self, Current, Key, Value.m_Run) && !From.m_Last.m_Draining;
-  return Unseen && !Wanted;
+  return !Wanted && isUnseen(Current, From, Key, Value.m_Run);
 }
 
 } // namespace fireflydrift::control::impl
--- a/packages/control/runs.h
+++ b/packages/control/runs.h
@@ -22,8 +22,15 @@
 [[nodiscard]] const std::set<workflow::TaskKey> &
 assignedTo(const State &Current, const core::TargetId &Id);
 
-[[nodiscard]] bool isReported(const roster::Report &Value,
-                              const workflow::TaskKey &Key, std::uint32_t Run);
+// The run as its target reported it last, or nullptr when it does not run.
+[[nodiscard]] const roster::RunningTask *
+reportedRun(const roster::Report &Value, const workflow::TaskKey &Key,
+            std::uint32_t Run);
+
+// True when the run is assigned to this life, and its newest report shows it
+// neither as running nor as ended.
+[[nodiscard]] bool isUnseen(const State &Current, const roster::Member &On,
+                            const workflow::TaskKey &Key, std::uint32_t Run);
 
 // True when the run is assigned to this life, and neither shown by the newest
 // report nor wanted there any more.
--- a/packages/control/view.cpp
+++ b/packages/control/view.cpp
@@ -13,15 +13,6 @@
   return Value.m_AssignedAt + Step.m_RunTime;
 }
 
-// The progress of a run that its target reported last.
-static const roster::RunningTask *
-reportedRun(const roster::Member &From, const TaskKey &Key, std::uint32_t Run) {
-  for (const roster::RunningTask &Each : From.m_Last.m_Running)
-    if (Each.m_Task == Key && Each.m_Run == Run)
-      return &Each;
-  return nullptr;
-}
-
 // ---- Reserves --------------------------------------------------------------
 
 // Accelerators that the workflow needs at once, at most.
@@ -73,7 +64,7 @@
   // Saved progress is lost back to its newest point only.
   constexpr core::Duration SavedEvery{500};
   core::Duration Ran = Now - Value.m_AssignedAt;
-  const roster::RunningTask *Seen = reportedRun(On, Key, Value.m_Run);
+  const roster::RunningTask *Seen = reportedRun(On.m_Last, Key, Value.m_Run);
   bool Saves = Step.m_Checkpoints && Seen && !Seen->m_Saved.empty();
   return {.m_Task = Key,
           .m_Run = Value.m_Run,
--- a/packages/roster/health.cpp
+++ b/packages/roster/health.cpp
@@ -44,6 +44,14 @@
   return std::move(*this);
 }
 
+Health Health::suspected(const core::TargetId &Id, const HealthOptions &Options,
+                         core::Time Now) && {
+  Record &Known = m_Records[Id];
+  Known.m_FailuresInARow += Options.m_SuspectAfter;
+  Known.m_LastFailure = Now;
+  return std::move(*this);
+}
+
 Health Health::reported(const Report &Value, core::Time Now) && {
   std::map<workflow::TaskKey, Progress> Next;
   std::map<workflow::TaskKey, Progress> &Known = m_Progress[Value.m_Target];
--- a/packages/roster/health.h
+++ b/packages/roster/health.h
@@ -54,6 +54,11 @@
   // These return the changed value; they consume it so nothing is copied.
   [[nodiscard]] Health ended(const core::TargetId &Id, EndCause Why,
                              core::Time Now) &&;
+  // After a run was found to stand still: its target is no better than one
+  // where runs fail.
+  [[nodiscard]] Health suspected(const core::TargetId &Id,
+                                 const HealthOptions &Options,
+                                 core::Time Now) &&;
   // After a report: notes which of its runs got on.
   [[nodiscard]] Health reported(const Report &Value, core::Time Now) &&;
 
