--- a/packages/runtime/http_client.cpp
+++ b/packages/runtime/http_client.cpp
@@ -1,5 +1,6 @@
 #include "runtime/http_client.h"
 
+#include "runtime/address.h"
 #include "runtime/h2o_api.h"
 
 #include <utility>
@@ -29,12 +30,18 @@
 
 struct HttpClient::Impl {
   Loop &m_Loop;
+  HttpClientOptions m_Options;
   h2o_timeout_t m_Timeout{};
   h2o_http1client_ctx_t m_Context{};
   h2o_multithread_queue_t *m_Queue = nullptr;
   h2o_multithread_receiver_t m_Receiver{};
   std::map<std::uint64_t, std::shared_ptr<Flight>> m_Flights;
   std::uint64_t m_NextId = 0;
+  // Connections kept open, by host and port. They live as long as the loop.
+  std::map<std::pair<std::string, std::uint16_t>, h2o_socketpool_t *> m_Pools;
+
+  // The pool of a host and port, or nullptr where the host is no address.
+  [[nodiscard]] h2o_socketpool_t *pool(const HttpCall &Value);
 
   static h2o_http1client_head_cb onConnect(h2o_http1client_t *Client,
                                            const char *Error,
@@ -118,7 +125,8 @@
 
 // ---- Calls -----------------------------------------------------------------
 
-HttpClient::HttpClient(Loop &On) : m_Impl(new Impl{.m_Loop = On}) {
+HttpClient::HttpClient(Loop &On, HttpClientOptions Options)
+    : m_Impl(new Impl{.m_Loop = On, .m_Options = Options}) {
   h2o_timeout_init(On.raw(), &m_Impl->m_Timeout, IoTimeoutMs);
   m_Impl->m_Queue = h2o_multithread_create_queue(On.raw());
   h2o_multithread_register_receiver(m_Impl->m_Queue, &m_Impl->m_Receiver,
@@ -132,24 +140,49 @@
 
 HttpClient::~HttpClient() = default;
 
-static std::string writeRequest(const HttpCall &Value) {
+h2o_socketpool_t *HttpClient::Impl::pool(const HttpCall &Value) {
+  auto Address = toAddress(Value.m_Host, Value.m_Port);
+  if (m_Options.m_KeptOpen == 0 || !Address)
+    return nullptr;
+  h2o_socketpool_t *&Found = m_Pools[{Value.m_Host, Value.m_Port}];
+  if (Found)
+    return Found;
+  Found = new h2o_socketpool_t{};
+  sockaddr_in Peer = *Address;
+  h2o_socketpool_init_by_address(Found, reinterpret_cast<sockaddr *>(&Peer),
+                                 sizeof(Peer), 0, m_Options.m_KeptOpen);
+  h2o_socketpool_set_timeout(Found, m_Loop.raw(), IoTimeoutMs);
+  return Found;
+}
+
+static std::string writeRequest(const HttpCall &Value, bool KeepsOpen) {
   std::string Text =
       Value.m_Method + " " + Value.m_Path + " HTTP/1.1\r\n" +
       "host: " + Value.m_Host + ":" + std::to_string(Value.m_Port) + "\r\n" +
-      "connection: close\r\n" + "content-type: application/json\r\n" +
+      "connection: " + (KeepsOpen ? "keep-alive" : "close") +
+      "\r\ncontent-type: application/json\r\n" +
       "content-length: " + std::to_string(Value.m_Body.size()) + "\r\n";
   if (!Value.m_Token.empty())
     Text += "authorization: Bearer " + Value.m_Token + "\r\n";
+  for (const auto &[Name, Content] : Value.m_Headers)
+    Text.append(Name).append(": ").append(Content).append("\r\n");
   return Text + "\r\n" + Value.m_Body;
 }
 
 void HttpClient::send(const HttpCall &Value, HttpCallback Callback) {
   std::uint64_t Id = ++m_Impl->m_NextId;
   auto Started = std::make_shared<Flight>();
-  Started->m_Request = writeRequest(Value);
+  h2o_socketpool_t *Pool = m_Impl->pool(Value);
+  Started->m_Request = writeRequest(Value, Pool != nullptr);
   Started->m_Callback = std::move(Callback);
   Started->m_Deadline = m_Impl->m_Loop.now() + Value.m_Timeout;
   m_Impl->m_Flights.emplace(Id, Started);
+  if (Pool) {
+    h2o_http1client_connect_with_pool(&Started->m_Client, Started.get(),
+                                      &m_Impl->m_Context, Pool,
+                                      Impl::onConnect);
+    return;
+  }
   h2o_http1client_connect(
       &Started->m_Client, Started.get(), &m_Impl->m_Context,
       h2o_iovec_init(Value.m_Host.data(), Value.m_Host.size()), Value.m_Port, 0,
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -17,6 +17,8 @@
   std::string m_Path;
   std::string m_Body;
   std::string m_Token;
+  // Further header fields, by their names.
+  std::map<std::string, std::string> m_Headers;
   core::Duration m_Timeout{1500};
 
   friend bool operator==(const HttpCall &, const HttpCall &) = default;
@@ -33,11 +35,19 @@
 // failed, broke off, or the time was over.
 using HttpCallback = std::function<void(std::optional<HttpAnswer>)>;
 
-// Sends each call over a connection of its own, so that a connection that has
-// gone silent never swallows a second call.
+struct HttpClientOptions {
+  // Connections that one host and port keeps open for later calls. With none,
+  // each call has a connection of its own, so that one that has gone silent
+  // never swallows a second call.
+  std::size_t m_KeptOpen = 0;
+
+  friend bool operator==(const HttpClientOptions &,
+                         const HttpClientOptions &) = default;
+};
+
 class HttpClient {
 public:
-  explicit HttpClient(Loop &On);
+  explicit HttpClient(Loop &On, HttpClientOptions Options = {});
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- /dev/null
+++ b/tests/soak/vm.cpp
@@ -0,0 +1,80 @@
+#include "soak/vm.h"
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace fireflydrift::soak {
+
+namespace fs = std::filesystem;
+
+Vm::Vm(VmOptions Options) : m_Options(std::move(Options)) {
+  fs::create_directories(m_Options.m_Folder);
+  std::ofstream(m_Options.m_Folder + "/settings.ini") << m_Options.m_Settings;
+  set({});
+}
+
+Vm::~Vm() {
+  if (!isRunning())
+    return;
+  kill(m_Process, SIGKILL);
+  waitpid(m_Process, nullptr, 0);
+}
+
+void Vm::set(const LocalFaults &Value) const {
+  // Renamed into place, so that the process never reads half of it.
+  std::string Path = m_Options.m_Folder + "/faults";
+  std::ofstream(Path + ".new")
+      << Value.m_ClockStep.count() << " " << m_Options.m_RatePermille << " "
+      << Value.m_SyncTakes.count() << " " << Value.m_Disk << "\n";
+  fs::rename(Path + ".new", Path);
+}
+
+void Vm::eraseData() const { fs::remove_all(m_Options.m_Folder + "/data"); }
+
+void Vm::start() {
+  std::string Settings = m_Options.m_Folder + "/settings.ini";
+  std::string Log = m_Options.m_Folder + "/log";
+  std::string Faults = "SOAK_FAULTS=" + m_Options.m_Folder + "/faults";
+  std::string Preload = "LD_PRELOAD=" + m_Options.m_Shim;
+  std::string Program = m_Options.m_Program;
+  std::string Flag = "--settings";
+  std::array<char *, 4> Words{Program.data(), Flag.data(), Settings.data(),
+                              nullptr};
+  std::array<char *, 3> Environment{Faults.data(), Preload.data(), nullptr};
+  m_Process = fork();
+  if (m_Process < 0) {
+    std::cerr << "soak: can't start a process" << std::endl;
+    std::abort();
+  }
+  if (m_Process > 0)
+    return;
+  int File = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(File, STDOUT_FILENO);
+  dup2(File, STDERR_FILENO);
+  // The child keeps none of the soak's sockets.
+  constexpr unsigned First = 3;
+  close_range(First, ~0U, 0);
+  execve(Program.c_str(), Words.data(), Environment.data());
+  _exit(1);
+}
+
+void Vm::signal(int Number) const {
+  if (isRunning())
+    kill(m_Process, Number);
+}
+
+bool Vm::collect() {
+  if (!isRunning() || waitpid(m_Process, &m_LastStatus, WNOHANG) != m_Process)
+    return false;
+  m_Process = 0;
+  return true;
+}
+
+} // namespace fireflydrift::soak
