Keep in touch with the replicas that the own log names

Four of six voters were left, just enough to elect, and no leader came: a VM that restarts knows seeds and whom it hears of, its signs of life named only committed replicas, of which it knows none before an election, and links to VMs beyond its contacts are closed. The three replicas that are no seeds never met.

Ruled out: votes (all four logs and incarnations fit), the rule of durability, the disks (2,154 to 2,155 entries recovered).

Now a VM knows the replicas of its own newest set, names them in its signs of life, and forgets none of them.

--- a/packages/membership/membership.cpp
+++ b/packages/membership/membership.cpp
@@ -30,6 +30,15 @@
         Vm, Contact{.m_Address = addressById(Vm, m_OpenPort), .m_MetAt = Now});
 }
 
+Membership Membership::withReplicas(const std::vector<core::VmId> &Replicas,
+                                    core::Time Now) const {
+  Membership Next = *this;
+  for (const core::VmId &Vm : Replicas)
+    Next.meet(Vm, Now);
+  Next.m_Replicas = {Replicas.begin(), Replicas.end()};
+  return Next;
+}
+
 Membership Membership::withoutSilent(core::Time Now,
                                      core::Duration After) const {
   Membership Next = *this;
@@ -39,7 +48,8 @@
     const auto &[Vm, Known] = Each;
     core::Time Last =
         std::max({Known.m_LastDatagram, Known.m_LastFrame, Known.m_MetAt});
-    return Vm != m_Self && !m_Seeds.contains(Vm) && Now - Last >= After;
+    bool Kept = Vm == m_Self || m_Seeds.contains(Vm) || m_Replicas.contains(Vm);
+    return !Kept && Now - Last >= After;
   });
   return Next;
 }
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -111,6 +111,11 @@
   // True when any VM that is heard of belongs to the system.
   [[nodiscard]] bool isOpen() const noexcept { return m_OpenPort != 0; }
 
+  // An open membership that also knows these VMs, which this VM's own log names
+  // as replicas, and forgets none of them. After a loss of power they may be
+  // all that is left of the set, and the seeds may know nobody.
+  [[nodiscard]] Membership withReplicas(const std::vector<core::VmId> &Replicas,
+                                        core::Time Now) const;
   // An open membership without the VMs that have been silent for so long.
   [[nodiscard]] Membership withoutSilent(core::Time Now,
                                          core::Duration After) const;
@@ -128,6 +133,7 @@
   core::VmId m_Self;
   std::map<core::VmId, Contact> m_Contacts;
   std::set<core::VmId> m_Seeds;
+  std::set<core::VmId> m_Replicas;
   // Port of all VMs where the membership is open, otherwise zero.
   std::uint16_t m_OpenPort = 0;
 };
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -415,6 +415,7 @@
 void Node::forgetSilentVms(core::Time Now) {
   if (!m_Membership.isOpen())
     return;
+  m_Membership = m_Membership.withReplicas(knownReplicas(), Now);
   m_Membership = m_Membership.withoutSilent(Now, ForgetVmAfter);
   std::set<core::VmId> Known;
   for (const auto &[Vm, Contact] : m_Membership.contacts())
@@ -426,8 +427,10 @@
   std::vector<core::VmId> Known;
   if (!m_Replica || !m_Membership.isOpen())
     return Known;
-  const replica::Replica &Self = m_Replica->replica();
-  for (const auto &[Vm, Value] : Self.m_Log.membersAt(Self.m_Commit).all())
+  // The newest set, committed or not: after a restart what is committed is
+  // known again only once these have elected a leader.
+  const replica::Log &Log = m_Replica->replica().m_Log;
+  for (const auto &[Vm, Value] : Log.membersAt(Log.lastIndex()).all())
     Known.push_back(Vm);
   return Known;
 }
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -88,6 +88,18 @@
   EXPECT_NE(Value.find(core::VmId("10.0.0.1")), nullptr);
 }
 
+TEST(Membership, AnOpenOneKnowsAndKeepsTheReplicasOfItsOwnLog) {
+  core::VmId Replica("10.0.0.5");
+  core::VmId Former("10.0.0.6");
+  Membership Value = openOne().withReplicas({Replica, Former}, at(0));
+  ASSERT_NE(Value.find(Replica), nullptr);
+  EXPECT_EQ(Value.find(Replica)->m_Address, address("10.0.0.5"));
+  Value = Value.withReplicas({Replica}, at(1));
+  Value = Value.withoutSilent(at(2000), core::Duration(1000));
+  EXPECT_NE(Value.find(Replica), nullptr);
+  EXPECT_EQ(Value.find(Former), nullptr);
+}
+
 TEST(Membership, ListsEverySilentConnection) {
   core::VmId C("c");
   Membership Value(A, {{.m_Id = A}, {.m_Id = B}, {.m_Id = C}});
