Answer truthfully after a retry; lose no answer with a connection

The caller read a refusal of a job that ran. A refusal now counts as one only on the first try; later it is 'undecided', and the same id may be asked again.

What is not acknowledged is now sent again over the next connection, and connections over which nothing came back lately are opened anew when a leader becomes known.

Ruled out: elections (13.4 s to lead, once the cut ended), commits, the retry budget alone (it only bounds what the loss costs).

--- a/packages/routing/forwarding.cpp
+++ b/packages/routing/forwarding.cpp
@@ -2,6 +2,11 @@
 
 namespace fireflydrift::routing {
 
+bool wasRetried(const Forwarding &Value, std::uint64_t Id) {
+  auto Found = Value.m_Pending.find(Id);
+  return Found != Value.m_Pending.end() && Found->second.m_Tries > 1;
+}
+
 Forwarding added(Forwarding Before, std::uint64_t Id, core::Time Deadline,
                  core::Time Now) {
   Before.m_Pending.emplace(Id,
--- a/packages/routing/forwarding.h
+++ b/packages/routing/forwarding.h
@@ -50,6 +50,11 @@
                          const ForwardingStep &) = default;
 };
 
+// True when the operation was sent more than once. An earlier try that was not
+// answered may have been decided, so a refusal of a later one says nothing
+// about whether the operation takes effect.
+[[nodiscard]] bool wasRetried(const Forwarding &Value, std::uint64_t Id);
+
 [[nodiscard]] Forwarding added(Forwarding Before, std::uint64_t Id,
                                core::Time Deadline, core::Time Now);
 [[nodiscard]] Forwarding removed(Forwarding Before, std::uint64_t Id);
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -53,11 +53,26 @@
   m_Forwarding = routing::added(std::move(m_Forwarding), Id, Deadline, Now);
 }
 
+static core::Reason undecided() {
+  return {core::ReasonCode::Undecided, "",
+          "no leader decided in time; ask again under the same id"};
+}
+
+// Whether a refusal promises that nothing will run.
+static bool handsInWork(const control::Operation &Value) {
+  return std::holds_alternative<control::Submit>(Value) ||
+         std::holds_alternative<control::SubmitWorkflow>(Value);
+}
+
 void Entry::complete(std::uint64_t Id, control::Reply Value, core::Time Now) {
   auto Found = m_Held.find(Id);
   // A second reply to a repeated operation.
   if (Found == m_Held.end())
     return;
+  bool Refused = std::holds_alternative<control::Failure>(Value);
+  if (Refused && handsInWork(Found->second.m_Operation) &&
+      routing::wasRetried(m_Forwarding, Id))
+    Value = control::Failure{undecided()};
   Held Done = std::move(Found->second);
   m_Counters.observe("fireflydrift_forward_ms", Now - Done.m_Since);
   m_Held.erase(Found);
@@ -83,8 +98,7 @@
 
 static core::Reason expiryReason(const routing::Expired &Value) {
   if (Value.m_WasSent)
-    return {core::ReasonCode::Undecided, "",
-            "no leader decided in time; ask again under the same id"};
+    return undecided();
   return {core::ReasonCode::Unavailable, "",
           "no leader was found in time; nothing was done"};
 }
--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -24,6 +24,12 @@
 
 namespace {
 
+// A frame that the other end has not acknowledged yet.
+struct SentFrame {
+  core::Time m_QueuedAt;
+  std::string m_Bytes;
+};
+
 // The outgoing connection to one VM.
 struct Outgoing {
   membership::VmAddress m_Address;
@@ -32,8 +38,7 @@
   bool m_Writing = false;
   std::string m_InWrite;
   std::string m_Queue;
-  // When each frame that is not acknowledged yet was queued.
-  std::deque<core::Time> m_Unacknowledged;
+  std::deque<SentFrame> m_Unacknowledged;
   // When the other end last sent anything back.
   core::Time m_HeardAt;
   core::Time m_OpenedAt;
@@ -90,13 +95,43 @@
 
 // ---- Outgoing connections --------------------------------------------------
 
+// Frames that are kept for the next connection hold at most so many bytes.
+static constexpr std::size_t MaxKeptBytes = std::size_t{256} << 10U;
+
+// What a connection that was lost had not delivered, as far as it is known, is
+// sent again over the next one: the loss of a connection should not cost the
+// callers behind these frames a time-out. Messages may arrive twice.
+static void keepUndelivered(Outgoing &Peer) {
+  std::size_t Kept = 0;
+  std::deque<SentFrame> Newest;
+  for (auto Each = Peer.m_Unacknowledged.rbegin();
+       Each != Peer.m_Unacknowledged.rend(); ++Each) {
+    Kept += Each->m_Bytes.size();
+    if (Kept > MaxKeptBytes)
+      break;
+    Newest.push_front(std::move(*Each));
+  }
+  Peer.m_Queue.clear();
+  core::Time Now = Peer.m_Loop->now();
+  for (SentFrame &Each : Newest) {
+    Each.m_QueuedAt = Now;
+    Peer.m_Queue += Each.m_Bytes;
+  }
+  Peer.m_Unacknowledged = std::move(Newest);
+}
+
 static void closeOutgoing(Outgoing &Peer, core::Duration RetryAfter) {
   if (Peer.m_Socket)
     h2o_socket_close(std::exchange(Peer.m_Socket, nullptr));
+  // Nothing is kept for a VM that can't be reached.
+  if (Peer.m_Connected) {
+    keepUndelivered(Peer);
+  } else {
+    Peer.m_Queue.clear();
+    Peer.m_Unacknowledged.clear();
+  }
   Peer.m_Connected = false;
   Peer.m_Writing = false;
-  Peer.m_Queue.clear();
-  Peer.m_Unacknowledged.clear();
   Peer.m_RetryAt = Peer.m_Loop->now() + RetryAfter;
 }
 
@@ -154,6 +189,7 @@
   }
   setNoDelay(Socket);
   Peer.m_Connected = true;
+  Peer.m_HeardAt = Peer.m_Loop->now();
   h2o_socket_read_start(Socket, onAcks);
   writeQueued(Peer);
 }
@@ -349,16 +385,17 @@
       messages::Envelope{.m_From = m_Impl->m_Self, .m_Body = Value});
   bool TooMuch =
       Peer.m_Queue.size() + Encoded.size() > m_Impl->m_Options.m_MaxQueuedBytes;
-  // Nothing is kept for a VM that can't be reached.
   if (TooMuch || !Peer.m_Socket) {
     ++Peer.m_Traffic.m_Dropped;
     return;
   }
   auto Length = static_cast<std::uint32_t>(Encoded.size());
-  std::array<char, FrameHeader> Header{};
-  std::memcpy(Header.data(), &Length, FrameHeader);
-  Peer.m_Queue.append(Header.data(), Header.size()).append(Encoded);
-  Peer.m_Unacknowledged.push_back(m_Impl->m_Loop.now());
+  std::string Frame(FrameHeader, '\0');
+  std::memcpy(Frame.data(), &Length, FrameHeader);
+  Frame += Encoded;
+  Peer.m_Queue += Frame;
+  Peer.m_Unacknowledged.push_back(
+      {.m_QueuedAt = m_Impl->m_Loop.now(), .m_Bytes = std::move(Frame)});
   Peer.m_Traffic.m_BytesOut += FrameHeader + Length;
   ++Peer.m_Traffic.m_FramesOut;
   writeQueued(Peer);
@@ -397,16 +434,25 @@
   closeOutgoing(Found->second, core::Duration(0));
 }
 
+void Links::renewIdle(const std::optional<core::VmId> &To, core::Time Now) {
+  for (auto &[Vm, Peer] : m_Impl->m_Peers) {
+    bool Idle = Peer.m_Connected &&
+                Now - Peer.m_HeardAt >= m_Impl->m_Options.m_SilentAfter;
+    if (Idle && (!To || *To == Vm))
+      closeOutgoing(Peer, core::Duration(0));
+  }
+}
+
 void Links::maintain(core::Time Now) {
   const LinkOptions &Options = m_Impl->m_Options;
   for (auto &[Vm, Peer] : m_Impl->m_Peers) {
     bool Connecting = Peer.m_Socket && !Peer.m_Connected;
     if (Connecting && Now - Peer.m_OpenedAt >= Options.m_ConnectTimeout)
       closeOutgoing(Peer, Options.m_ReconnectAfter);
-    bool Silent =
-        Peer.m_Connected && !Peer.m_Unacknowledged.empty() &&
-        Now - std::max(Peer.m_Unacknowledged.front(), Peer.m_HeardAt) >=
-            Options.m_SilentAfter;
+    bool Silent = Peer.m_Connected && !Peer.m_Unacknowledged.empty() &&
+                  Now - std::max(Peer.m_Unacknowledged.front().m_QueuedAt,
+                                 Peer.m_HeardAt) >=
+                      Options.m_SilentAfter;
     if (Silent)
       renew(Vm);
     if (!Peer.m_Socket)
--- a/packages/runtime/links.h
+++ b/packages/runtime/links.h
@@ -6,6 +6,7 @@
 #include "messages/codec.h"
 #include "runtime/loop.h"
 
+#include <optional>
 #include <set>
 
 namespace fireflydrift::runtime {
@@ -55,13 +56,18 @@
 
   [[nodiscard]] std::map<core::VmId, LinkTraffic> traffic() const;
 
-  // Queues a message; it is lost if the connection breaks.
+  // Queues a message. It may arrive twice when the connection breaks, and is
+  // lost when no other can be opened.
   void send(const core::VmId &To, const messages::Body &Value);
   void sendBeat(const core::VmId &To, const membership::Beat &Value);
   // Keeps links to just these VMs, this one aside.
   void keep(const std::set<core::VmId> &Vms);
-  // Closes the connection to a VM so that the next message opens another.
+  // Closes the connection to a VM so that another is opened.
   void renew(const core::VmId &To);
+  // The same for connections, to one VM or to all, over which nothing came back
+  // for so long that they could have gone silent unnoticed. Those would swallow
+  // the first messages that matter.
+  void renewIdle(const std::optional<core::VmId> &To, core::Time Now);
   // Opens, gives up and reopens connections as their times are over.
   void maintain(core::Time Now);
 
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -374,8 +374,11 @@
   }
   logReplicas(Self.m_Log.membersAt(Self.m_Commit));
   bool Leads = replica::holdsLease(Self, Now);
-  if (Leads && !m_LeaderHost.isLeading())
+  if (Leads && !m_LeaderHost.isLeading()) {
     m_LeaderHost.begin(m_Replica->state(), Self.m_Hard.m_Term, Now);
+    // From now on the others' callers wait for what these carry.
+    m_Links.renewIdle(std::nullopt, Now);
+  }
   // A leader that only lost its lease keeps its working state, and acts again
   // if the lease comes back before another is elected.
   if (Self.m_Role != replica::Role::Leader && m_LeaderHost.isLeading())
@@ -495,7 +498,12 @@
     turnReplica(Now);
   turnBeats(Now);
   refreshConfiguration(Now);
-  m_Entry.turn(leader(Now), Now);
+  core::VmId Leader = leader(Now);
+  if (Leader != m_LinkedLeader) {
+    m_LinkedLeader = Leader;
+    m_Links.renewIdle(Leader, Now);
+  }
+  m_Entry.turn(Leader, Now);
   if (m_Replica) {
     m_LeaderHost.flush(Now);
     m_Replica->flush(Now);
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -93,6 +93,8 @@
   bool m_ReadingConfiguration = false;
   replica::Role m_LastRole = replica::Role::Blank;
   core::VmId m_LastLeader;
+  // The leader whose connection was seen to when it became known.
+  core::VmId m_LinkedLeader;
   replica::Members m_LoggedReplicas;
   std::map<core::VmId, membership::Liveness> m_LastLiveness;
   core::Time m_TickAt;
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -81,6 +81,19 @@
 }
 
 // Half of all tries are lost; what is sent stays within 1.2 of the requests.
+TEST(Forwarding, KnowsWhatWasSentMoreThanOnce) {
+  constexpr std::uint64_t Id = 7;
+  RetryOptions Options;
+  Forwarding Value =
+      added({.m_Budget = fullBudget(Options)}, Id, at(9000), at(0));
+  EXPECT_FALSE(wasRetried(Value, Id));
+  Value = due(std::move(Value), A, Options, at(1)).m_Forwarding;
+  EXPECT_FALSE(wasRetried(Value, Id));
+  Value = due(std::move(Value), B, Options, at(2)).m_Forwarding;
+  EXPECT_TRUE(wasRetried(Value, Id));
+  EXPECT_FALSE(wasRetried(removed(std::move(Value), Id), Id));
+}
+
 TEST(Forwarding, KeepsAmplificationWithinItsBudget) {
   RetryOptions Options{.m_Reserve = 32};
   Forwarding Value{.m_Budget = fullBudget(Options)};
--- /dev/null
+++ b/tests/runtime/links_test.cpp
@@ -0,0 +1,138 @@
+#include "runtime/links.h"
+
+#include "runtime/address.h"
+#include "runtime/h2o_api.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <unistd.h>
+
+using namespace fireflydrift;
+using namespace fireflydrift::runtime;
+
+static const core::VmId A("a");
+static const core::VmId B("b");
+
+namespace {
+
+// Links of VM "a" and a plain socket in the place of VM "b".
+class LinksTest : public testing::Test {
+protected:
+  LinksTest()
+      : m_Host(freshHost()), m_Listener(*openListener(m_Host, BPort)),
+        m_Links(m_Loop, A,
+                {{.m_Id = A, .m_Host = m_Host, .m_Port = APort},
+                 {.m_Id = B, .m_Host = m_Host, .m_Port = BPort}},
+                Options) {
+    EXPECT_TRUE(m_Links.listen([](const messages::Envelope &) {},
+                               [](const membership::Beat &) {}));
+  }
+  ~LinksTest() override { close(m_Listener); }
+
+  // Links keep their sockets as long as the process, so each test has a host of
+  // its own.
+  static std::string freshHost() {
+    static int Tests = 0;
+    constexpr int Octet = 256;
+    int Process = getpid();
+    return "127." + std::to_string(100 + ++Tests) + "." +
+           std::to_string(Process / Octet % Octet) + "." +
+           std::to_string(Process % Octet);
+  }
+  // Lets the links work until something can be read from the socket.
+  void awaitInput(int Socket) {
+    constexpr int Turns = 5000;
+    for (int I = 0; I < Turns; ++I) {
+      pollfd Ready{.fd = Socket, .events = POLLIN};
+      if (poll(&Ready, 1, 0) > 0)
+        return;
+      m_Loop.resume();
+      m_Loop.run([&] {
+        m_Links.maintain(m_Loop.now());
+        m_Loop.stop();
+        return core::Duration(0);
+      });
+      usleep(1000);
+    }
+    ADD_FAILURE() << "nothing arrived";
+  }
+  int acceptOne() {
+    awaitInput(m_Listener);
+    return accept(m_Listener, nullptr, nullptr);
+  }
+  // The ids of the operations whose frames can be read now.
+  std::vector<std::uint64_t> readIds(int Socket) {
+    awaitInput(Socket);
+    std::string Bytes(65536, '\0');
+    ssize_t Count = read(Socket, Bytes.data(), Bytes.size());
+    Bytes.resize(static_cast<std::size_t>(std::max<ssize_t>(Count, 0)));
+    std::vector<std::uint64_t> Ids;
+    std::size_t At = 0;
+    while (At < Bytes.size()) {
+      std::uint32_t Length = 0;
+      std::memcpy(&Length, Bytes.data() + At, sizeof(Length));
+      At += sizeof(Length);
+      auto Frame =
+          messages::decodeEnvelope(std::string_view(Bytes).substr(At, Length));
+      At += Length;
+      if (Frame)
+        Ids.push_back(std::get<messages::NotLeader>(Frame->m_Body).m_Id);
+    }
+    return Ids;
+  }
+  void send(std::uint64_t Id) {
+    m_Links.send(B, messages::NotLeader{.m_Id = Id});
+  }
+
+  static constexpr std::uint16_t APort = 19871;
+  static constexpr std::uint16_t BPort = 19872;
+  static constexpr LinkOptions Options{};
+
+  Loop m_Loop;
+  std::string m_Host;
+  int m_Listener;
+  Links m_Links;
+};
+
+} // namespace
+
+// Found by the fault soak, seed 12: replies on a connection that was reset, or
+// had gone silent, cost their callers a time-out each.
+TEST_F(LinksTest, SendsWhatWasNotAcknowledgedOverTheNextConnection) {
+  int First = acceptOne();
+  send(1);
+  send(2);
+  EXPECT_EQ(readIds(First), (std::vector<std::uint64_t>{1, 2}));
+  close(First);
+  int Second = acceptOne();
+  send(3);
+  EXPECT_EQ(readIds(Second).front(), 1U);
+  close(Second);
+}
+
+TEST_F(LinksTest, DoesNotSendAgainWhatWasAcknowledged) {
+  int First = acceptOne();
+  send(1);
+  EXPECT_EQ(readIds(First), (std::vector<std::uint64_t>{1}));
+  ASSERT_EQ(write(First, "\x06", 1), 1);
+  close(First);
+  int Second = acceptOne();
+  send(2);
+  EXPECT_EQ(readIds(Second), (std::vector<std::uint64_t>{2}));
+  close(Second);
+}
+
+TEST_F(LinksTest, OpensAnotherConnectionInPlaceOfAnIdleOne) {
+  int First = acceptOne();
+  send(1);
+  readIds(First);
+  core::Time Now = m_Loop.now();
+  m_Links.renewIdle(std::nullopt, Now);
+  m_Links.renewIdle(A, Now + Options.m_SilentAfter);
+  m_Links.renewIdle(B, Now + Options.m_SilentAfter);
+  int Second = acceptOne();
+  EXPECT_EQ(readIds(Second), (std::vector<std::uint64_t>{1}));
+  close(Second);
+  close(First);
+}
--- a/tests/standin/manifest_operator.cpp
+++ b/tests/standin/manifest_operator.cpp
@@ -64,8 +64,10 @@
 }
 
 std::string ManifestOperator::addKey(core::Time Now) {
+  std::string Former = m_ExtraKey;
   m_ExtraKey = "key-" + std::to_string(++m_KeysMade);
   change(Now);
+  m_Orders.back().m_Withdraws = Former;
   return m_ExtraKey;
 }
 
--- a/tests/standin/manifest_operator.h
+++ b/tests/standin/manifest_operator.h
@@ -37,7 +37,7 @@
   // Two manifests of one version, sent to two VMs at once.
   void race(core::Time Now);
   void sendInvalid(core::Time Now);
-  // Adds a key and returns it.
+  // Adds a key in place of the one that was added last, and returns it.
   std::string addKey(core::Time Now);
   // Withdraws the key that was added last, if there is one.
   void withdrawKey(core::Time Now);
