Start no run whose end is on its way into the log

Cause: a target that was cut off reported again while the end of its run, whose lease was over, was proposed and not yet applied.

Orders by request, which an environment may ask for, are refused at the start with a reason (targets.orders).

--- a/packages/control/orders.cpp
+++ b/packages/control/orders.cpp
@@ -26,7 +26,8 @@
     const workflow::Workflow &Of = *findWorkflow(Current, Key.m_Workflow);
     const workflow::Task &Value = *Of.find(Key.m_Step, Key.m_Index);
     bool Due = isUnseen(Current, To, Key, Value.m_Run) &&
-               isWanted(Self, Current, Key, Value.m_Run);
+               isWanted(Self, Current, Key, Value.m_Run) &&
+               !isEnding(Self, Key, Value.m_Run);
     if (Due)
       Into.m_Starts.push_back({.m_Task = Key,
                                .m_Run = Value.m_Run,
--- a/packages/control/runs.cpp
+++ b/packages/control/runs.cpp
@@ -27,6 +27,11 @@
   return Found && Found->isWanted(Key.m_Step, Key.m_Index);
 }
 
+bool isEnding(const Polling &Self, const TaskKey &Key, std::uint32_t Run) {
+  auto Proposed = Self.m_EndProposed.find(Key);
+  return Proposed != Self.m_EndProposed.end() && Proposed->second >= Run;
+}
+
 const std::set<TaskKey> &assignedTo(const State &Current,
                                     const core::TargetId &Id) {
   static const std::set<TaskKey> None;
--- a/packages/control/runs.h
+++ b/packages/control/runs.h
@@ -19,6 +19,11 @@
 [[nodiscard]] bool isWanted(const Polling &Self, const State &Current,
                             const workflow::TaskKey &Key, std::uint32_t Run);
 
+// True when the end of the run was proposed and is not durable yet. It may be
+// given to another target at any moment.
+[[nodiscard]] bool isEnding(const Polling &Self, const workflow::TaskKey &Key,
+                            std::uint32_t Run);
+
 [[nodiscard]] const std::set<workflow::TaskKey> &
 assignedTo(const State &Current, const core::TargetId &Id);
 
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -227,6 +227,15 @@
         "How far each answered report extends the leases of a target that "
         "fetches its orders"},
        duration(PART(m_Leader.m_Polling.m_Roster.m_Lease), 100, Minute)},
+      {{"targets", "orders",
+        "How targets that report get their orders: heartbeat, in the answers"},
+       [](Settings &, const std::string &Text) {
+         // An environment that says nothing uses the usual way.
+         return Text.empty() || Text == "heartbeat"
+                    ? std::string()
+                    : std::string("must be heartbeat; orders that are sent to "
+                                  "such targets by request are not built");
+       }},
       {{"security", "operator_token_file",
         "File with the operators' token; without it operators need none"},
        text(PART(m_OperatorTokenFile))},
--- a/tests/control/polling_test.cpp
+++ b/tests/control/polling_test.cpp
@@ -32,3 +32,36 @@
     Self = std::move(Next.m_Polling);
   }
 }
+
+// Found by hunts of a grown installation: a target was silent until its lease
+// was over, and reported again while the end of its run was on its way into the
+// log. It was told to start the run that was then given to another target.
+TEST(Polling, DoesNotStartARunWhoseEndIsProposed) {
+  const core::TargetId Target("t");
+  const workflow::TargetLife Life{.m_Target = Target, .m_Incarnation = 1};
+  PollingOptions Options;
+  roster::Report Said{.m_Target = Target, .m_Incarnation = 1};
+  State Current = oneWorkflow();
+  AssignTasks Assigned{
+      .m_Workflow = core::RequestId("w"),
+      .m_Assign = {.m_Run = 1, .m_Places = {{.m_Where = Life}}}};
+  Current = apply(std::move(Current),
+                  {.m_At = at(0), .m_Commands = {std::move(Assigned)}})
+                .m_State;
+  Polling Self =
+      polled(beginPolling(at(0)), Current, Said, Options, at(0)).m_Polling;
+  auto Starts = [&] {
+    return ordersFor(Self, Current, *Self.m_Roster.find(Target), Options, 1)
+        .m_Orders.m_Starts.size();
+  };
+  EXPECT_EQ(Starts(), 1U);
+
+  core::Time Late = at(0) + 2 * Options.m_Roster.m_Lease;
+  PollingStep Lost = lead(std::move(Self), Current, Options, false, Late);
+  ASSERT_EQ(Lost.m_Commands.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<EndRun>(Lost.m_Commands.front()));
+  ++Said.m_Sequence;
+  Self =
+      polled(std::move(Lost.m_Polling), Current, Said, Options, Late).m_Polling;
+  EXPECT_EQ(Starts(), 0U);
+}
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -62,6 +62,14 @@
   EXPECT_FALSE(parseSettings(NoFolder, "x"));
 }
 
+TEST(Settings, RefuseAWayOfOrdersThatIsNotBuilt) {
+  EXPECT_TRUE(parseSettings(Good + "[targets]\norders = heartbeat\n", "x"));
+  EXPECT_TRUE(parseSettings(Good + "[targets]\norders =\n", "x"));
+  auto Values = parseSettings(Good + "[targets]\norders = request\n", "x");
+  ASSERT_FALSE(Values);
+  EXPECT_EQ(Values.reason().m_Field, "x:13 targets.orders");
+}
+
 TEST(Settings, AreAllOnTheReferencePage) {
   std::ifstream Stream(std::string(FIREFLYDRIFT_SOURCE) + "/docs/SETTINGS.md");
   std::ostringstream Page;
