--- a/packages/routing/forwarding.cpp
+++ b/packages/routing/forwarding.cpp
@@ -29,12 +29,16 @@
   return Before;
 }
 
+// True when the operation was last sent to another leader, which may be gone.
+static bool hasNewLeader(const Pending &Value, const core::VmId &Leader) {
+  return !Value.m_SentTo.empty() && Value.m_SentTo != Leader;
+}
+
 static bool isDue(const Pending &Value, const core::VmId &Leader,
                   core::Time Now) {
   if (Leader.empty())
     return false;
-  bool LeaderChanged = !Value.m_SentTo.empty() && Value.m_SentTo != Leader;
-  return LeaderChanged || Now >= Value.m_NextAt;
+  return hasNewLeader(Value, Leader) || Now >= Value.m_NextAt;
 }
 
 ForwardingStep due(Forwarding Before, const core::VmId &Leader,
@@ -49,12 +53,12 @@
       continue;
     if (Value.m_Tries == 0) {
       Before.m_Budget = afterFirstTry(Before.m_Budget, Options);
-    } else {
+    } else if (Value.m_SentTo == Leader) {
+      // Only a try that repeats another one is bounded: a new leader has not
+      // had the operation yet, and one that bounced it did nothing with it.
       auto Left = afterRetry(Before.m_Budget);
       if (!Left) {
         Value.m_NextAt = Now + backOff(Options, Id, Value.m_Tries);
-        // Another leader still gets it once the budget allows.
-        Value.m_SentTo = {};
         continue;
       }
       Before.m_Budget = *Left;
--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -426,12 +426,18 @@
                 [&](const auto &Each) { return !Vms.contains(Each.first); });
 }
 
+// Opens the next connection at once, so that what is sent now waits for it.
+static void reopen(Outgoing &Peer) {
+  closeOutgoing(Peer, core::Duration(0));
+  openOutgoing(Peer, Peer.m_Loop->now());
+}
+
 void Links::renew(const core::VmId &To) {
   auto Found = m_Impl->m_Peers.find(To);
   if (Found == m_Impl->m_Peers.end() || !Found->second.m_Socket)
     return;
   ++Found->second.m_Traffic.m_SilentConnections;
-  closeOutgoing(Found->second, core::Duration(0));
+  reopen(Found->second);
 }
 
 void Links::renewIdle(const std::optional<core::VmId> &To, core::Time Now) {
@@ -439,7 +445,7 @@
     bool Idle = Peer.m_Connected &&
                 Now - Peer.m_HeardAt >= m_Impl->m_Options.m_SilentAfter;
     if (Idle && (!To || *To == Vm))
-      closeOutgoing(Peer, core::Duration(0));
+      reopen(Peer);
   }
 }
 
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -376,8 +376,10 @@
   bool Leads = replica::holdsLease(Self, Now);
   if (Leads && !m_LeaderHost.isLeading()) {
     m_LeaderHost.begin(m_Replica->state(), Self.m_Hard.m_Term, Now);
-    // From now on the others' callers wait for what these carry.
+    // From now on the others' callers wait for what these carry, and the others
+    // for word of who leads.
     m_Links.renewIdle(std::nullopt, Now);
+    m_BeatAt = {};
   }
   // A leader that only lost its lease keeps its working state, and acts again
   // if the lease comes back before another is elected.
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -80,7 +80,6 @@
   EXPECT_TRUE(Next.m_Forwarding.m_Pending.empty());
 }
 
-// Half of all tries are lost; what is sent stays within 1.2 of the requests.
 TEST(Forwarding, KnowsWhatWasSentMoreThanOnce) {
   constexpr std::uint64_t Id = 7;
   RetryOptions Options;
@@ -94,6 +93,26 @@
   EXPECT_FALSE(wasRetried(removed(std::move(Value), Id), Id));
 }
 
+// Found in a day's logs: retries to a leader that was gone used up the budget,
+// and the next leader did not get the operations before their time was over.
+TEST(Forwarding, GivesANewLeaderEverythingWhateverIsLeftOfTheBudget) {
+  constexpr std::uint64_t Operations = 50;
+  RetryOptions Options{.m_PercentOfFirstTries = 0, .m_Reserve = 0};
+  Forwarding Value{.m_Budget = fullBudget(Options)};
+  for (std::uint64_t Id = 1; Id <= Operations; ++Id)
+    Value = added(std::move(Value), Id, at(9000), at(0));
+  ForwardingStep Next = due(std::move(Value), A, Options, at(1));
+  EXPECT_EQ(Next.m_Send.size(), Operations);
+  Next = due(std::move(Next.m_Forwarding), A, Options, at(2000));
+  EXPECT_TRUE(Next.m_Send.empty());
+  Next = due(std::move(Next.m_Forwarding), B, Options, at(2001));
+  EXPECT_EQ(Next.m_Send.size(), Operations);
+  Value = bounced(std::move(Next.m_Forwarding), 1, Options, at(2002));
+  Next = due(std::move(Value), B, Options, at(4000));
+  EXPECT_EQ(Next.m_Send, (std::vector<std::uint64_t>{1}));
+}
+
+// Half of all tries are lost; what is sent stays within 1.2 of the requests.
 TEST(Forwarding, KeepsAmplificationWithinItsBudget) {
   RetryOptions Options{.m_Reserve = 32};
   Forwarding Value{.m_Budget = fullBudget(Options)};
--- a/tests/runtime/links_test.cpp
+++ b/tests/runtime/links_test.cpp
@@ -131,8 +131,10 @@
   m_Links.renewIdle(std::nullopt, Now);
   m_Links.renewIdle(A, Now + Options.m_SilentAfter);
   m_Links.renewIdle(B, Now + Options.m_SilentAfter);
+  // What is sent at once waits for the new connection.
+  send(2);
   int Second = acceptOne();
-  EXPECT_EQ(readIds(Second), (std::vector<std::uint64_t>{1}));
+  EXPECT_EQ(readIds(Second), (std::vector<std::uint64_t>{1, 2}));
   close(Second);
   close(First);
 }
