Close a connection only once the loop has told of its writes

A connection that is closed in the turn in which something was written to it is then used after it is gone: the loop runs in a circle or ends with a signal. The soak's relay did so; Links could, when a connection is renewed or dropped in the turn of a message, more often since the renewal of idle ones.

Ruled out: the pool of kept connections, the books (the crash was there, the damage was done before).

--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstring>
 #include <deque>
+#include <list>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -30,13 +31,19 @@
   std::string m_Bytes;
 };
 
+// A socket on its way to being closed, with what it may still be writing.
+struct Closing {
+  h2o_socket_t *m_Socket = nullptr;
+  std::unique_ptr<std::string> m_InWrite;
+};
+
 // The outgoing connection to one VM.
 struct Outgoing {
   membership::VmAddress m_Address;
   h2o_socket_t *m_Socket = nullptr;
   bool m_Connected = false;
   bool m_Writing = false;
-  std::string m_InWrite;
+  std::unique_ptr<std::string> m_InWrite;
   std::string m_Queue;
   std::deque<SentFrame> m_Unacknowledged;
   // When the other end last sent anything back.
@@ -45,6 +52,7 @@
   core::Time m_RetryAt;
   LinkTraffic m_Traffic;
   Loop *m_Loop = nullptr;
+  std::list<Closing> *m_Closing = nullptr;
 };
 
 // A connection that another VM opened.
@@ -71,6 +79,7 @@
   OnMessage m_OnMessage;
   OnBeat m_OnBeat;
   std::map<core::VmId, Outgoing> m_Peers;
+  std::list<Closing> m_Closing;
   h2o_socket_t *m_Listener = nullptr;
   h2o_socket_t *m_Datagrams = nullptr;
 
@@ -90,6 +99,7 @@
   Outgoing &New = m_Peers[Vm];
   New.m_Address = membership::addressById(Vm, m_Options.m_OpenPort);
   New.m_Loop = &m_Loop;
+  New.m_Closing = &m_Closing;
   return &New;
 }
 
@@ -120,9 +130,19 @@
   Peer.m_Unacknowledged = std::move(Newest);
 }
 
+// Lets go of the peer's socket. It is closed at the next turn: h2o frees a
+// closed socket before it tells of a write that has just completed on it.
+static void letGo(Outgoing &Peer) {
+  if (!Peer.m_Socket)
+    return;
+  h2o_socket_read_stop(Peer.m_Socket);
+  Peer.m_Socket->data = nullptr;
+  Peer.m_Closing->push_back({.m_Socket = std::exchange(Peer.m_Socket, nullptr),
+                             .m_InWrite = std::move(Peer.m_InWrite)});
+}
+
 static void closeOutgoing(Outgoing &Peer, core::Duration RetryAfter) {
-  if (Peer.m_Socket)
-    h2o_socket_close(std::exchange(Peer.m_Socket, nullptr));
+  letGo(Peer);
   // Nothing is kept for a VM that can't be reached.
   if (Peer.m_Connected) {
     keepUndelivered(Peer);
@@ -138,6 +158,8 @@
 static void writeQueued(Outgoing &Peer);
 
 static void onWritten(h2o_socket_t *Socket, const char *Error) {
+  if (!Socket->data)
+    return;
   auto &Peer = *static_cast<Outgoing *>(Socket->data);
   Peer.m_Writing = false;
   if (Error)
@@ -149,14 +171,17 @@
 static void writeQueued(Outgoing &Peer) {
   if (!Peer.m_Connected || Peer.m_Writing || Peer.m_Queue.empty())
     return;
-  Peer.m_InWrite = std::exchange(Peer.m_Queue, {});
+  Peer.m_InWrite =
+      std::make_unique<std::string>(std::exchange(Peer.m_Queue, {}));
   Peer.m_Writing = true;
   h2o_iovec_t Buffer =
-      h2o_iovec_init(Peer.m_InWrite.data(), Peer.m_InWrite.size());
+      h2o_iovec_init(Peer.m_InWrite->data(), Peer.m_InWrite->size());
   h2o_socket_write(Peer.m_Socket, &Buffer, 1, onWritten);
 }
 
 static void onAcks(h2o_socket_t *Socket, const char *Error) {
+  if (!Socket->data)
+    return;
   auto &Peer = *static_cast<Outgoing *>(Socket->data);
   if (Error) {
     closeOutgoing(Peer, core::Duration(0));
@@ -181,6 +206,8 @@
 }
 
 static void onConnected(h2o_socket_t *Socket, const char *Error) {
+  if (!Socket->data)
+    return;
   auto &Peer = *static_cast<Outgoing *>(Socket->data);
   if (Error) {
     constexpr core::Duration RefusedRetry{200};
@@ -303,6 +330,7 @@
     Outgoing &Peer = m_Impl->m_Peers[Each.m_Id];
     Peer.m_Address = std::move(Each);
     Peer.m_Loop = &On;
+    Peer.m_Closing = &m_Impl->m_Closing;
   }
 }
 
@@ -450,6 +478,8 @@
 }
 
 void Links::maintain(core::Time Now) {
+  for (const Closing &Each : std::exchange(m_Impl->m_Closing, {}))
+    h2o_socket_close(Each.m_Socket);
   const LinkOptions &Options = m_Impl->m_Options;
   for (auto &[Vm, Peer] : m_Impl->m_Peers) {
     bool Connecting = Peer.m_Socket && !Peer.m_Connected;
--- a/tests/runtime/links_test.cpp
+++ b/tests/runtime/links_test.cpp
@@ -123,6 +123,26 @@
   close(Second);
 }
 
+// Found by the fault soak, seed 83: a socket that was closed in the turn of a
+// write was used by the loop after it was freed.
+TEST_F(LinksTest, MayBeRenewedInTheTurnOfAWrite) {
+  constexpr std::uint64_t Rounds = 50;
+  int Before = acceptOne();
+  send(0);
+  readIds(Before);
+  for (std::uint64_t Id = 1; Id <= Rounds; ++Id) {
+    send(Id);
+    m_Links.renew(B);
+    int Next = acceptOne();
+    EXPECT_EQ(readIds(Next).back(), Id);
+    ASSERT_EQ(write(Next, std::string(Id, '\x06').data(), Id),
+              static_cast<ssize_t>(Id));
+    close(Before);
+    Before = Next;
+  }
+  close(Before);
+}
+
 TEST_F(LinksTest, OpensAnotherConnectionInPlaceOfAnIdleOne) {
   int First = acceptOne();
   send(1);
--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -35,7 +35,10 @@
   Side m_Caller;
   Side m_Target;
   bool m_Silent = false;
+  // Its sockets are closed at the next turn: h2o frees a closed socket before
+  // it tells of a write that has just completed on it.
   bool m_Dead = false;
+  bool m_Resets = false;
   const LinkState *m_Link = nullptr;
   runtime::Loop *m_Loop = nullptr;
 };
@@ -75,13 +78,14 @@
                sizeof(Abort));
   }
   h2o_socket_close(std::exchange(Value.m_Socket, nullptr));
-  Value.m_Writing = false;
 }
 
 static void closeChannel(Channel &Of, bool Reset) {
   Of.m_Dead = true;
-  closeSide(Of.m_Caller, Reset);
-  closeSide(Of.m_Target, Reset);
+  Of.m_Resets = Of.m_Resets || Reset;
+  for (const Side *Each : {&Of.m_Caller, &Of.m_Target})
+    if (Each->m_Socket)
+      h2o_socket_read_stop(Each->m_Socket);
 }
 
 static Side &otherSide(Channel &Of, const h2o_socket_t *Socket) {
@@ -90,6 +94,8 @@
 
 static void onRead(h2o_socket_t *Socket, const char *Error) {
   auto &Of = *static_cast<Channel *>(Socket->data);
+  if (Of.m_Dead)
+    return;
   Side &To = otherSide(Of, Socket);
   if (Error) {
     To.m_EndsAfterQueue = true;
@@ -113,6 +119,8 @@
 
 static void onConnected(h2o_socket_t *Socket, const char *Error) {
   auto &Of = *static_cast<Channel *>(Socket->data);
+  if (Of.m_Dead)
+    return;
   if (Error)
     return closeChannel(Of, true);
   Of.m_Target.m_Connected = true;
@@ -235,6 +243,13 @@
 
 bool Relay::turn(core::Time Now) {
   const LinkState &Link = m_Impl->m_Link;
+  m_Impl->m_Channels.remove_if([](Channel &Each) {
+    if (Each.m_Dead) {
+      closeSide(Each.m_Caller, Each.m_Resets);
+      closeSide(Each.m_Target, Each.m_Resets);
+    }
+    return Each.m_Dead;
+  });
   bool Waits = false;
   for (Channel &Each : m_Impl->m_Channels) {
     if (Each.m_Dead || Each.m_Silent)
@@ -250,7 +265,6 @@
     Waits = Waits || !Each.m_Caller.m_Queue.empty() ||
             !Each.m_Target.m_Queue.empty();
   }
-  m_Impl->m_Channels.remove_if([](const Channel &Each) { return Each.m_Dead; });
   auto To = runtime::toAddress(m_Impl->m_To.m_Host, m_Impl->m_To.m_Port);
   while (!m_Impl->m_Queue.empty() && m_Impl->m_Queue.front().m_DueAt <= Now) {
     const std::string &Bytes = m_Impl->m_Queue.front().m_Bytes;
--- a/tests/soak/vm.cpp
+++ b/tests/soak/vm.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -55,6 +56,8 @@
   }
   if (m_Process > 0)
     return;
+  // No server outlives the soak.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   int File = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(File, STDOUT_FILENO);
   dup2(File, STDERR_FILENO);
