--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -168,7 +168,7 @@
 // ---- Datagrams -------------------------------------------------------------
 
 bool Relay::Impl::loses() {
-  // Every so-manieth is lost; which ones does not matter.
+  // A fixed share is lost, spread evenly.
   constexpr std::uint32_t Hundred = 100;
   constexpr std::uint32_t Step = 37;
   m_Dice = (m_Dice + Step) % Hundred;
