One place each for watching a socket, for an address, for what a fault does to a link

Reading the change again: Links, the HTTP server and the soak's relay each opened a listening socket to the loop with the same three lines, and two of them set TCP_NODELAY alike; now runtime/sockets. The stand-ins had two structs of host and port; now one. The soak's link faults are two free functions, harmed and healed. HttpClient no longer reads an address that it does not need where it keeps no connections. A constant of the shim that nobody used is gone.

The product behaves as before. One thing in the soak differs: the planned end of a reset or a silence also ended cuts of the same links that were to last longer; it does not any more.

--- a/packages/runtime/http_client.cpp
+++ b/packages/runtime/http_client.cpp
@@ -141,8 +141,10 @@
 HttpClient::~HttpClient() = default;
 
 h2o_socketpool_t *HttpClient::Impl::pool(const HttpCall &Value) {
+  if (m_Options.m_KeptOpen == 0)
+    return nullptr;
   auto Address = toAddress(Value.m_Host, Value.m_Port);
-  if (m_Options.m_KeptOpen == 0 || !Address)
+  if (!Address)
     return nullptr;
   h2o_socketpool_t *&Found = m_Pools[{Value.m_Host, Value.m_Port}];
   if (Found)
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -1,7 +1,7 @@
 #include "runtime/http_server.h"
 
 #include "runtime/address.h"
-#include "runtime/h2o_api.h"
+#include "runtime/sockets.h"
 
 #include <openssl/ssl.h>
 #include <sstream>
@@ -251,10 +251,8 @@
   auto Opened = openListener(Options.m_Host, Options.m_Port);
   if (!Opened)
     return Opened.reason();
-  m_Impl->m_Listener = h2o_evloop_socket_create(m_Impl->m_Loop.raw(), *Opened,
-                                                H2O_SOCKET_FLAG_DONT_READ);
-  m_Impl->m_Listener->data = m_Impl.get();
-  h2o_socket_read_start(m_Impl->m_Listener, Impl::onAccept);
+  m_Impl->m_Listener =
+      watch(m_Impl->m_Loop, *Opened, m_Impl.get(), Impl::onAccept);
   return true;
 }
 
--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -2,14 +2,13 @@
 
 #include "runtime/address.h"
 #include "runtime/events.h"
-#include "runtime/h2o_api.h"
+#include "runtime/sockets.h"
 
 #include <algorithm>
 #include <array>
 #include <cstring>
 #include <deque>
 #include <list>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace fireflydrift::runtime {
@@ -199,12 +198,6 @@
                                   static_cast<std::ptrdiff_t>(Acks));
 }
 
-static void setNoDelay(h2o_socket_t *Socket) {
-  int On = 1;
-  setsockopt(h2o_socket_get_fd(Socket), IPPROTO_TCP, TCP_NODELAY, &On,
-             sizeof(On));
-}
-
 static void onConnected(h2o_socket_t *Socket, const char *Error) {
   if (!Socket->data)
     return;
@@ -349,14 +342,9 @@
       openDatagramSocket(m_Impl->m_Own.m_Host, m_Impl->m_Own.m_Port);
   if (!Datagrams)
     return Datagrams.reason();
-  m_Impl->m_Listener = h2o_evloop_socket_create(m_Impl->m_Loop.raw(), *Stream,
-                                                H2O_SOCKET_FLAG_DONT_READ);
-  m_Impl->m_Listener->data = m_Impl.get();
-  h2o_socket_read_start(m_Impl->m_Listener, Impl::onAccept);
-  m_Impl->m_Datagrams = h2o_evloop_socket_create(
-      m_Impl->m_Loop.raw(), *Datagrams, H2O_SOCKET_FLAG_DONT_READ);
-  m_Impl->m_Datagrams->data = m_Impl.get();
-  h2o_socket_read_start(m_Impl->m_Datagrams, Impl::onDatagram);
+  Impl *Self = m_Impl.get();
+  Self->m_Listener = watch(Self->m_Loop, *Stream, Self, Impl::onAccept);
+  Self->m_Datagrams = watch(Self->m_Loop, *Datagrams, Self, Impl::onDatagram);
   return true;
 }
 
--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -1,14 +1,13 @@
 #include "soak/relay.h"
 
 #include "runtime/address.h"
-#include "runtime/h2o_api.h"
+#include "runtime/sockets.h"
 
 #include <algorithm>
 #include <array>
 #include <deque>
 #include <iostream>
 #include <list>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace fireflydrift::soak {
@@ -152,9 +151,7 @@
   if (Error)
     return;
   while (h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener)) {
-    int On = 1;
-    setsockopt(h2o_socket_get_fd(Socket), IPPROTO_TCP, TCP_NODELAY, &On,
-               sizeof(On));
+    runtime::setNoDelay(Socket);
     Channel &New = Self->m_Channels.emplace_back();
     New.m_Link = &Self->m_Link;
     New.m_Loop = &Self->m_Loop;
@@ -207,14 +204,9 @@
     : m_Impl(new Impl{.m_Loop = On, .m_To = std::move(To)}) {
   int Stream = opened(runtime::openListener(From.m_Host, From.m_Port));
   int Datagrams = opened(runtime::openDatagramSocket(From.m_Host, From.m_Port));
-  m_Impl->m_Listener =
-      h2o_evloop_socket_create(On.raw(), Stream, H2O_SOCKET_FLAG_DONT_READ);
-  m_Impl->m_Listener->data = m_Impl.get();
-  h2o_socket_read_start(m_Impl->m_Listener, Impl::onAccept);
+  m_Impl->m_Listener = runtime::watch(On, Stream, m_Impl.get(), Impl::onAccept);
   m_Impl->m_Datagrams =
-      h2o_evloop_socket_create(On.raw(), Datagrams, H2O_SOCKET_FLAG_DONT_READ);
-  m_Impl->m_Datagrams->data = m_Impl.get();
-  h2o_socket_read_start(m_Impl->m_Datagrams, Impl::onDatagram);
+      runtime::watch(On, Datagrams, m_Impl.get(), Impl::onDatagram);
 }
 
 Relay::~Relay() = default;
--- a/tests/soak/relay.h
+++ b/tests/soak/relay.h
@@ -4,19 +4,13 @@
 #define FIREFLYDRIFT_TESTS_SOAK_RELAY_H
 
 #include "runtime/loop.h"
+#include "standin/endpoint.h"
 
-#include <cstdint>
 #include <memory>
-#include <string>
 
 namespace fireflydrift::soak {
 
-struct Endpoint {
-  std::string m_Host;
-  std::uint16_t m_Port = 0;
-
-  friend bool operator==(const Endpoint &, const Endpoint &) = default;
-};
+using standin::Endpoint;
 
 // How the link behaves now. What a cut holds back arrives after it.
 struct LinkState {
--- a/tests/soak/shim.cpp
+++ b/tests/soak/shim.cpp
@@ -29,8 +29,8 @@
 // File descriptors above the standard ones; the data folder's files are there.
 constexpr int FirstDataFile = 3;
 constexpr int MostFiles = 1024;
-constexpr long NanosecondsPerMs = 1000000;
 constexpr long NanosecondsPerSecond = 1000000000;
+constexpr long MsPerSecond = 1000;
 constexpr long Permille = 1000;
 
 // Sizes of files as of their last sync, where something was written since.
@@ -99,7 +99,7 @@
     return Result;
   Faults Now = readFaults();
   if (Clock == CLOCK_REALTIME) {
-    Into->tv_sec += Now.m_ClockMs / Permille;
+    Into->tv_sec += Now.m_ClockMs / MsPerSecond;
   } else if (Clock == CLOCK_MONOTONIC || Clock == CLOCK_BOOTTIME) {
     long Rate = Now.m_RatePermille;
     long Left = Into->tv_sec % Permille * Rate;
--- a/tests/soak/system.cpp
+++ b/tests/soak/system.cpp
@@ -109,12 +109,10 @@
   return All;
 }
 
-std::vector<standin::EntryAddress> System::entries() const {
-  std::vector<standin::EntryAddress> All;
-  for (int Each = m_Options.m_Replicas; Each < vms(); ++Each) {
-    Endpoint Door = doorRelay(m_Options, Each);
-    All.push_back({.m_Host = Door.m_Host, .m_Port = Door.m_Port});
-  }
+std::vector<Endpoint> System::entries() const {
+  std::vector<Endpoint> All;
+  for (int Each = m_Options.m_Replicas; Each < vms(); ++Each)
+    All.push_back(doorRelay(m_Options, Each));
   return All;
 }
 
@@ -126,6 +124,14 @@
   return All;
 }
 
+std::vector<Relay *> System::linksFrom(int Vm) const {
+  std::vector<Relay *> All;
+  for (const auto &[Ends, Each] : m_Links)
+    if (Ends.first == Vm)
+      All.push_back(Each.get());
+  return All;
+}
+
 // ---- Running ---------------------------------------------------------------
 
 void System::start() {
@@ -151,7 +157,7 @@
 }
 
 void System::collect(int Vm, core::Time Now) {
-  Slot &Of = m_Slots[static_cast<std::size_t>(Vm)];
+  Slot &Of = slot(Vm);
   if (Of.m_Vm->collect()) {
     int Status = Of.m_Vm->lastStatus();
     bool Clean = WIFEXITED(Status) && WEXITSTATUS(Status) == 0;
@@ -195,7 +201,7 @@
 // ---- Faults ----------------------------------------------------------------
 
 void System::kill(int Vm, core::Time StartAt) {
-  Slot &Of = m_Slots[static_cast<std::size_t>(Vm)];
+  Slot &Of = slot(Vm);
   Of.m_EndExpected = Of.m_Vm->isRunning();
   Of.m_StartAt = StartAt;
   Of.m_Vm->signal(SIGKILL);
@@ -204,7 +210,7 @@
 
 void System::applyToProcess(const Fault &Value, core::Time Now) {
   int Victim = Value.m_Victim;
-  Slot &Of = m_Slots[static_cast<std::size_t>(Victim)];
+  Slot &Of = slot(Victim);
   core::Time End = Now + Value.m_Lasts;
   switch (Value.m_Kind) {
   case FaultKind::Kill:
@@ -213,15 +219,13 @@
   case FaultKind::Wipe:
     kill(Victim, End);
     // Erased once the process is gone.
-    after(Now + RestartAfter / 2, [this, Victim](core::Time) {
-      m_Slots[static_cast<std::size_t>(Victim)].m_Vm->eraseData();
-    });
+    after(Now + RestartAfter / 2,
+          [this, Victim](core::Time) { slot(Victim).m_Vm->eraseData(); });
     break;
   case FaultKind::Freeze:
     Of.m_Vm->signal(SIGSTOP);
-    after(End, [this, Victim](core::Time) {
-      m_Slots[static_cast<std::size_t>(Victim)].m_Vm->signal(SIGCONT);
-    });
+    after(End,
+          [this, Victim](core::Time) { slot(Victim).m_Vm->signal(SIGCONT); });
     break;
   case FaultKind::Stop:
     Of.m_EndExpected = Of.m_Vm->isRunning();
@@ -235,50 +239,59 @@
   }
 }
 
-void System::applyToLinks(const Fault &Value, core::Time Now) {
+static LinkState harmed(LinkState Before, const Fault &Value) {
   constexpr int LossPercent = 40;
   constexpr int DelayPart = 20;
-  std::vector<Relay *> Links = linksOf(Value.m_Victim);
-  if (Value.m_Kind == FaultKind::CutOneWay)
-    std::erase_if(Links, [&](Relay *Each) {
-      return std::none_of(m_Links.begin(), m_Links.end(),
-                          [&](const auto &Link) {
-                            return Link.second.get() == Each &&
-                                   Link.first.first == Value.m_Victim;
-                          });
-    });
-  for (Relay *Each : Links) {
-    LinkState &State = m_LinkStates[Each];
+  if (Value.m_Kind == FaultKind::Delay)
+    Before.m_Delay = Value.m_Lasts / DelayPart;
+  else if (Value.m_Kind == FaultKind::Loss)
+    Before.m_LossPercent = LossPercent;
+  else
+    Before.m_CutsForward = true;
+  Before.m_CutsBack = Before.m_CutsBack || Value.m_Kind == FaultKind::Cut;
+  return Before;
+}
+
+static LinkState healed(LinkState Before, FaultKind Kind) {
+  if (Kind == FaultKind::Delay)
+    Before.m_Delay = core::Duration(0);
+  else if (Kind == FaultKind::Loss)
+    Before.m_LossPercent = 0;
+  else
+    Before.m_CutsForward = Before.m_CutsBack = false;
+  return Before;
+}
+
+void System::setLink(Relay *Link, const LinkState &Value) {
+  m_LinkStates[Link] = Value;
+  Link->set(Value);
+}
+
+// Resets or silences the connections that are open now.
+void System::breakOpenConnections(const Fault &Value) {
+  for (Relay *Each : linksOf(Value.m_Victim)) {
     if (Value.m_Kind == FaultKind::Reset)
       Each->reset();
-    else if (Value.m_Kind == FaultKind::Silence)
-      Each->silence();
-    else if (Value.m_Kind == FaultKind::Delay)
-      State.m_Delay = Value.m_Lasts / DelayPart;
-    else if (Value.m_Kind == FaultKind::Loss)
-      State.m_LossPercent = LossPercent;
     else
-      State.m_CutsForward = true;
-    State.m_CutsBack = State.m_CutsBack || Value.m_Kind == FaultKind::Cut;
-    Each->set(State);
+      Each->silence();
   }
+}
+
+void System::applyToLinks(const Fault &Value, core::Time Now) {
+  std::vector<Relay *> Links = Value.m_Kind == FaultKind::CutOneWay
+                                   ? linksFrom(Value.m_Victim)
+                                   : linksOf(Value.m_Victim);
+  for (Relay *Each : Links)
+    setLink(Each, harmed(m_LinkStates[Each], Value));
   after(Now + Value.m_Lasts, [this, Links, Kind = Value.m_Kind](core::Time) {
-    for (Relay *Each : Links) {
-      LinkState &State = m_LinkStates[Each];
-      if (Kind == FaultKind::Delay)
-        State.m_Delay = core::Duration(0);
-      else if (Kind == FaultKind::Loss)
-        State.m_LossPercent = 0;
-      else
-        State.m_CutsForward = State.m_CutsBack = false;
-      Each->set(State);
-    }
+    for (Relay *Each : Links)
+      setLink(Each, healed(m_LinkStates[Each], Kind));
   });
 }
 
 void System::applyToDisk(const Fault &Value, core::Time Now) {
   int Victim = Value.m_Victim;
-  Slot &Of = m_Slots[static_cast<std::size_t>(Victim)];
+  Slot &Of = slot(Victim);
   constexpr core::Duration SlowSync{300};
   constexpr core::Duration Step{600000};
   if (Value.m_Kind == FaultKind::ClockStep)
@@ -296,7 +309,7 @@
   if (Value.m_Kind == FaultKind::ClockStep)
     return;
   after(Now + Value.m_Lasts, [this, Victim, Kind = Value.m_Kind](core::Time) {
-    Slot &Then = m_Slots[static_cast<std::size_t>(Victim)];
+    Slot &Then = slot(Victim);
     if (Kind == FaultKind::DiskSlow)
       Then.m_Faults.m_SyncTakes = core::Duration(0);
     else
@@ -322,9 +335,10 @@
   case FaultKind::CutOneWay:
   case FaultKind::Delay:
   case FaultKind::Loss:
+    return applyToLinks(Value, Now);
   case FaultKind::Reset:
   case FaultKind::Silence:
-    return applyToLinks(Value, Now);
+    return breakOpenConnections(Value);
   case FaultKind::PowerLoss:
   case FaultKind::ClockStep:
   case FaultKind::DiskSlow:
--- a/tests/soak/system.h
+++ b/tests/soak/system.h
@@ -36,7 +36,7 @@
   }
   // Where targets and operators, and callers, reach the VMs: at the relays.
   [[nodiscard]] std::vector<standin::ControlAddress> controls() const;
-  [[nodiscard]] std::vector<standin::EntryAddress> entries() const;
+  [[nodiscard]] std::vector<Endpoint> entries() const;
 
   void start();
   // Lays a fault on a VM and plans its end.
@@ -64,12 +64,19 @@
     std::function<void(core::Time)> m_Do;
   };
 
+  [[nodiscard]] Slot &slot(int Vm) {
+    return m_Slots[static_cast<std::size_t>(Vm)];
+  }
   [[nodiscard]] std::string host(int Vm) const;
   [[nodiscard]] std::string settingsOf(int Vm) const;
+  // All relays of a VM, and those that carry what it sends to other VMs.
   [[nodiscard]] std::vector<Relay *> linksOf(int Vm);
+  [[nodiscard]] std::vector<Relay *> linksFrom(int Vm) const;
+  void setLink(Relay *Link, const LinkState &Value);
   void after(core::Time At, std::function<void(core::Time)> Do);
   void kill(int Vm, core::Time StartAt);
   void applyToProcess(const Fault &Value, core::Time Now);
+  void breakOpenConnections(const Fault &Value);
   void applyToLinks(const Fault &Value, core::Time Now);
   void applyToDisk(const Fault &Value, core::Time Now);
   void collect(int Vm, core::Time Now);
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -31,8 +31,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::vector<ControlAddress> Controls =
       readControls(Words[1], static_cast<std::uint16_t>(std::stoi(Words[2])));
-  EntryAddress Entry{.m_Host = Words[3],
-                     .m_Port = static_cast<std::uint16_t>(std::stoi(Words[4]))};
+  Endpoint Entry{.m_Host = Words[3],
+                 .m_Port = static_cast<std::uint16_t>(std::stoi(Words[4]))};
   auto Jobs = static_cast<std::size_t>(std::stoi(Words[5]));
 
   runtime::Loop On;
--- a/tests/standin/queue_callers.cpp
+++ b/tests/standin/queue_callers.cpp
@@ -30,19 +30,15 @@
          });
 }
 
-std::size_t QueueCallers::completed() const {
+std::size_t QueueCallers::count(Phase Value) const {
   return static_cast<std::size_t>(
-      std::count_if(m_Jobs.begin(), m_Jobs.end(), [](const auto &Each) {
-        return Each->m_Phase == Phase::Ended;
-      }));
+      std::count_if(m_Jobs.begin(), m_Jobs.end(),
+                    [&](const auto &Each) { return Each->m_Phase == Value; }));
 }
 
-std::size_t QueueCallers::unknown() const {
-  return static_cast<std::size_t>(
-      std::count_if(m_Jobs.begin(), m_Jobs.end(), [](const auto &Each) {
-        return Each->m_Phase == Phase::Unknown;
-      }));
-}
+std::size_t QueueCallers::completed() const { return count(Phase::Ended); }
+
+std::size_t QueueCallers::unknown() const { return count(Phase::Unknown); }
 
 // ---- Jobs ------------------------------------------------------------------
 
@@ -137,7 +133,7 @@
   std::string Verb = Method;
   std::uniform_int_distribution<std::size_t> Pick(
       0, m_Options.m_Entries.size() - 1);
-  const EntryAddress &To = m_Options.m_Entries[Pick(m_Random)];
+  const Endpoint &To = m_Options.m_Entries[Pick(m_Random)];
   // A withdrawn key serves for handing in only: that is what must be refused.
   bool HandsIn = Of.m_Phase == Phase::HandingIn;
   m_Client.send({.m_Method = Verb,
--- a/tests/standin/queue_callers.h
+++ b/tests/standin/queue_callers.h
@@ -5,20 +5,14 @@
 
 #include "runtime/http_client.h"
 #include "standin/books.h"
+#include "standin/endpoint.h"
 
 #include <random>
 
 namespace fireflydrift::standin {
 
-struct EntryAddress {
-  std::string m_Host;
-  std::uint16_t m_Port = 0;
-
-  friend bool operator==(const EntryAddress &, const EntryAddress &) = default;
-};
-
 struct CallerOptions {
-  std::vector<EntryAddress> m_Entries;
+  std::vector<Endpoint> m_Entries;
   std::size_t m_Jobs = 60;
   // Mean time between two jobs.
   core::Duration m_Every{250};
@@ -73,6 +67,7 @@
     std::optional<core::Time> m_ResendAt;
   };
 
+  [[nodiscard]] std::size_t count(Phase Value) const;
   [[nodiscard]] JobFacts draw();
   void arrive(core::Time Now);
   // The method of the call that is due for the job, or nullptr.
