Count runs that are being stopped against the limit of their step

Displacements are the leader's own and not in the log.

What leaves a room is now one list, from which free room, room that comes back and the limit follow alike; runs that a target reports though they are over there count as well.

The test in polling_test failed before.

--- a/packages/assignment/fit.cpp
+++ b/packages/assignment/fit.cpp
@@ -61,15 +61,18 @@
 
 } // namespace
 
-// Tasks of the same step that run in the room already, up to the limit.
+// Tasks of the same step that run in the room already, up to the limit. What is
+// being stopped counts until its end is known.
 static std::uint32_t presentIn(const Room &Value, const Demand &For) {
-  auto Same = [&](const Occupant &Each) {
-    return Each.m_Task.m_Workflow == For.m_Workflow->id() &&
-           Each.m_Task.m_Step == For.m_Step;
+  auto Same = [&](const workflow::TaskKey &Each) {
+    return Each.m_Workflow == For.m_Workflow->id() && Each.m_Step == For.m_Step;
   };
-  auto Present = static_cast<std::uint32_t>(
-      std::count_if(Value.m_Occupants.begin(), Value.m_Occupants.end(), Same));
-  return std::min(Present, For.spec().m_MaxPerTarget);
+  auto Present =
+      std::count_if(Value.m_Occupants.begin(), Value.m_Occupants.end(),
+                    [&](const Occupant &Each) { return Same(Each.m_Task); }) +
+      std::count_if(Value.m_Leaving.begin(), Value.m_Leaving.end(), Same);
+  return std::min(static_cast<std::uint32_t>(Present),
+                  For.spec().m_MaxPerTarget);
 }
 
 static Places placesIn(const std::vector<Room> &All,
--- a/packages/assignment/view.h
+++ b/packages/assignment/view.h
@@ -40,6 +40,8 @@
   // Tasks fail here more often than elsewhere; it is used last.
   bool m_Suspect = false;
   std::vector<Occupant> m_Occupants;
+  // Tasks that still run here though they are not wanted any more.
+  std::vector<workflow::TaskKey> m_Leaving;
 
   friend bool operator==(const Room &, const Room &) = default;
 };
--- a/packages/control/view.cpp
+++ b/packages/control/view.cpp
@@ -77,20 +77,26 @@
           .m_Displaceable = !Step.m_Lasting};
 }
 
-// Capacity of runs that the target still reports though they are not assigned
-// there any more: stopped ones, and members of gangs that are done.
-static core::Capacity leftovers(const State &Current,
-                                const roster::Member &On) {
-  core::Capacity Sum;
+static void addLeaving(assignment::Room &Into, const TaskKey &Key,
+                       const core::Capacity &Held) {
+  Into.m_Free = Into.m_Free - Held;
+  Into.m_Coming = Into.m_Coming + Held;
+  Into.m_Leaving.push_back(Key);
+}
+
+// Runs that the target still reports though they are not assigned there any
+// more: stopped ones, and members of gangs that are done.
+static void addLeftovers(assignment::Room &Into, const State &Current,
+                         const roster::Member &On) {
   for (const roster::RunningTask &Each : On.m_Last.m_Running) {
     if (isOut(Current, Each.m_Task, Each.m_Run, On.life()))
       continue;
     const workflow::Workflow *Of =
         findWorkflow(Current, Each.m_Task.m_Workflow);
     if (Of && Each.m_Task.m_Step < Of->spec().m_Steps.size())
-      Sum = Sum + Of->spec().m_Steps[Each.m_Task.m_Step].m_PerTask;
+      addLeaving(Into, Each.m_Task,
+                 Of->spec().m_Steps[Each.m_Task.m_Step].m_PerTask);
   }
-  return Sum;
 }
 
 static assignment::Room roomOf(const Polling &Self, const State &Current,
@@ -99,26 +105,26 @@
                                const roster::HealthOptions &Options,
                                core::Time Now) {
   const roster::Report &Last = On.m_Last;
-  core::Capacity Leftover = leftovers(Current, On);
   assignment::Room Value{
       .m_Life = On.life(),
       .m_Pool = Last.m_Pool,
       .m_Rack = Last.m_Rack,
       .m_Labels = Last.m_Labels,
       .m_Total = Last.m_Capacity,
-      .m_Free = Last.m_Capacity - Leftover,
-      .m_Coming = Leftover,
+      .m_Free = Last.m_Capacity,
       .m_Suspect = Self.m_Health.isSuspect(Last.m_Target, Options, Now)};
+  addLeftovers(Value, Current, On);
   for (const TaskKey &Key : assignedTo(Current, Last.m_Target)) {
     const workflow::Task &Task = *findTask(Current, Key);
     if (Task.m_Where != On.life())
       continue;
     assignment::Occupant Each = occupantOf(Current, On, Key, Reserved, Now);
+    if (!isWanted(Self, Current, Key, Task.m_Run)) {
+      addLeaving(Value, Key, Each.m_Capacity);
+      continue;
+    }
     Value.m_Free = Value.m_Free - Each.m_Capacity;
-    if (isWanted(Self, Current, Key, Task.m_Run))
-      Value.m_Occupants.push_back(std::move(Each));
-    else
-      Value.m_Coming = Value.m_Coming + Each.m_Capacity;
+    Value.m_Occupants.push_back(std::move(Each));
   }
   return Value;
 }
--- a/tests/control/polling_test.cpp
+++ b/tests/control/polling_test.cpp
@@ -65,3 +65,33 @@
       polled(std::move(Lost.m_Polling), Current, Said, Options, Late).m_Polling;
   EXPECT_EQ(Starts(), 0U);
 }
+
+// Found by a hunt: a run was displaced while its target was cut off, another
+// task of the step was assigned there, and the next leader, which knew nothing
+// of the displacement, started both.
+TEST(Polling, CountsARunThatIsBeingStoppedAgainstTheLimitOfItsStep) {
+  const core::TargetId Target("t");
+  const workflow::TargetLife Life{.m_Target = Target, .m_Incarnation = 1};
+  constexpr core::Capacity Whole{8, 64000, 256000};
+  workflow::WorkflowSpec Spec{.m_Id = core::RequestId("w"),
+                              .m_Terms = {.m_Pool = "pool"},
+                              .m_Steps = {{.m_Tasks = 2,
+                                           .m_PerTask = {.m_Accelerators = 1},
+                                           .m_MaxPerTarget = 1}}};
+  AssignTasks First{.m_Workflow = Spec.m_Id,
+                    .m_Assign = {.m_Run = 1, .m_Places = {{0, Life}}}};
+  State Current =
+      apply({}, {.m_At = at(0), .m_Commands = {AcceptWorkflow{Spec}, First}})
+          .m_State;
+  PollingOptions Options;
+  roster::Report Said{.m_Target = Target,
+                      .m_Incarnation = 1,
+                      .m_Pool = "pool",
+                      .m_Capacity = Whole};
+  Polling Self =
+      polled(beginPolling(at(0)), Current, Said, Options, at(0)).m_Polling;
+  Self.m_Displaced[{Spec.m_Id, 0, 0}] = 1;
+  core::Time Later = at(0) + Options.m_PassAgain;
+  EXPECT_TRUE(
+      lead(std::move(Self), Current, Options, true, Later).m_Commands.empty());
+}
