--- a/tests/runtime/links_test.cpp
+++ b/tests/runtime/links_test.cpp
@@ -3,9 +3,11 @@
 #include "runtime/address.h"
 #include "runtime/h2o_api.h"
 
+#include <csignal>
 #include <cstring>
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace fireflydrift;
@@ -159,3 +161,50 @@
   close(Second);
   close(First);
 }
+
+// When more sockets were ready than h2o handles in one iteration, a connection
+// that was written to between two iterations stayed registered for writability
+// after the write had completed, and its next event failed an assertion in h2o:
+// the process ended (bench: large, scale-2 with seed 809603463609).
+TEST_F(LinksTest, WritesToANewConnectionWhileManySocketsAreReady) {
+  // h2o handles at most 256 events in one iteration.
+  constexpr int Crowd = 400;
+  constexpr int Iterations = 600;
+  constexpr int ReconnectEvery = 12;
+  // Not in every iteration: the next write would hide the stale registration.
+  constexpr int SendEvery = 5;
+  // A write to a connection that the other end has closed must not end the
+  // test.
+  std::signal(SIGPIPE, SIG_IGN);
+  auto Address = toAddress(m_Host, APort);
+  std::vector<int> Others;
+  for (int I = 0; I < Crowd; ++I) {
+    int Other = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(connect(Other, reinterpret_cast<const sockaddr *>(&*Address),
+                      sizeof(*Address)),
+              0);
+    // The header of a frame that never becomes complete.
+    std::uint32_t Length = 1U << 20U;
+    ASSERT_EQ(write(Other, &Length, sizeof(Length)), sizeof(Length));
+    Others.push_back(Other);
+  }
+  int Iteration = 0;
+  m_Loop.run([&] {
+    m_Links.maintain(m_Loop.now());
+    for (int Other : Others)
+      EXPECT_EQ(write(Other, "x", 1), 1);
+    if (Iteration % SendEvery == 0)
+      send(static_cast<std::uint64_t>(Iteration));
+    if (++Iteration % ReconnectEvery == 0)
+      m_Links.reconnect(B);
+    pollfd Ready{.fd = m_Listener, .events = POLLIN};
+    if (poll(&Ready, 1, 0) > 0)
+      close(accept(m_Listener, nullptr, nullptr));
+    if (Iteration == Iterations)
+      m_Loop.stop();
+    return core::Duration(1);
+  });
+  EXPECT_GT(m_Links.traffic().at(B).m_StalledConnections, 0U);
+  for (int Other : Others)
+    close(Other);
+}
