Believe a report only as far as it can be its target's

Cause: the roster took any report for its target's. A foreign report under a worker's id or with its address and a later start time ended the instance at work: its runs counted as over at once and were started again beside it, and its own reports were outdated for ever. Addresses, start times and sequences were unchecked, run numbers cut to 32 bits, nesting unlimited; a departure with the right start time ended an instance whoever sent it.

Refused messages are counted and logged once a second (FD4011). A target that ignores its start orders becomes suspect. Silent targets are forgotten.

Ruled out: probes at the address (priced, and no proof of the instance); bounds alone (a start time of now is credible).

Stand-in workers now give numeric addresses.

--- a/packages/control/orders.cpp
+++ b/packages/control/orders.cpp
@@ -78,8 +78,11 @@
     // The target ignores the order, so the run is stopped and the task can be
     // assigned again.
     if (Known.m_TimesSent >= Options.m_MinStartOrders &&
-        Now - Known.m_FirstSentAt >= Options.m_StartTimeout)
+        Now - Known.m_FirstSentAt >= Options.m_StartTimeout) {
       Before.m_Preempted[Each.m_Task] = Each.m_Run;
+      Before.m_Health =
+          std::move(Before.m_Health).withStalledRun(Id, Options.m_Health, Now);
+    }
   }
   return Before;
 }
@@ -99,7 +102,9 @@
   bool HasUnacknowledgedEnds =
       !Last.m_Ended.empty() &&
       Last.m_Ended.back().m_Number > Orders.m_AcknowledgedThrough;
-  Out.m_SendNow = !Orders.m_Starts.empty() || !Orders.m_Stops.empty() ||
+  // A target becomes credible with its next report.
+  Out.m_SendNow = !Target.isCredible() || !Orders.m_Starts.empty() ||
+                  !Orders.m_Stops.empty() ||
                   (!Last.m_Ended.empty() && !HasUnacknowledgedEnds);
   bool Idle = Last.m_Running.empty() && !Last.m_Draining;
   // Unless reported ends are not durable yet, a target that runs tasks gets its
--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -10,7 +10,8 @@
 PollingState beginPolling(core::Time Now) {
   return {.m_Roster = roster::Roster(Now),
           .m_LastPassAt = Now,
-          .m_LastLossCheckAt = Now};
+          .m_LastLossCheckAt = Now,
+          .m_LastForgottenAt = Now};
 }
 
 static void proposeEnd(PollingStep &Out, const TaskKey &Key, std::uint32_t Run,
@@ -93,7 +94,8 @@
                          core::Time Now) {
   PollingStep Out{.m_Polling = std::move(Before)};
   roster::Roster &Roster = Out.m_Polling.m_Roster;
-  if (!Roster.isNewer(Value))
+  if (Roster.judge(Value, Options.m_Roster, Now) !=
+      roster::ReportVerdict::Accepted)
     return Out;
   core::TargetId Id = Value.m_Target;
   Roster =
@@ -109,9 +111,8 @@
   return Out;
 }
 
-PollingState handleLeave(PollingState Before, const core::TargetId &Id,
-                         std::optional<std::uint64_t> Incarnation) {
-  Before.m_Roster = std::move(Before.m_Roster).withDeparture(Id, Incarnation);
+PollingState handleLeave(PollingState Before, const roster::Departure &Value) {
+  Before.m_Roster = std::move(Before.m_Roster).withDeparture(Value);
   return Before;
 }
 
@@ -166,6 +167,18 @@
     }
 }
 
+// Bounds the memory that targets take which never report again.
+static void forgetSilentTargets(PollingState &Polling,
+                                const PollingOptions &Options, core::Time Now) {
+  if (Now - Polling.m_LastForgottenAt < Options.m_ForgetInterval)
+    return;
+  Polling.m_LastForgottenAt = Now;
+  std::vector<core::TargetId> Silent =
+      Polling.m_Roster.forgettable(Options.m_Roster, Now);
+  Polling.m_Roster = std::move(Polling.m_Roster).without(Silent);
+  Polling.m_Health = std::move(Polling.m_Health).without(Silent);
+}
+
 // ---- Assignment passes ------------------------------------------------------
 
 static void runAssignmentPass(PollingStep &Out, const State &Current,
@@ -192,6 +205,7 @@
                  const PollingOptions &Options, bool MayPass, core::Time Now) {
   PollingStep Out{.m_Polling = std::move(Before)};
   endLostRuns(Out, Current, Options, Now);
+  forgetSilentTargets(Out.m_Polling, Options, Now);
   core::Duration Since = Now - Out.m_Polling.m_LastPassAt;
   bool Due = Out.m_Polling.m_PassNeeded ? Since >= Options.m_MinPassInterval
                                         : Since >= Options.m_MaxPassInterval;
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -21,6 +21,7 @@
 
 struct PollingOptions {
   roster::RosterOptions m_Roster;
+  roster::ReportLimits m_ReportLimits;
   roster::HealthOptions m_Health;
   assignment::PassOptions m_Pass;
   // Longest time to hold the response to an idle target's report until there
@@ -37,6 +38,8 @@
   // Interval between assignment passes while nothing has changed.
   core::Duration m_MaxPassInterval{250};
   core::Duration m_LossCheckInterval{100};
+  // Interval between removals of targets that have been silent for too long.
+  core::Duration m_ForgetInterval{5000};
   // An assigned run that is missing from the reports counts as never started
   // once its stop has been ordered m_MinStopOrders times and m_StopTimeout has
   // passed since the first order. One order is not enough because a target may
@@ -82,6 +85,7 @@
   bool m_PassNeeded = true;
   core::Time m_LastPassAt;
   core::Time m_LastLossCheckAt;
+  core::Time m_LastForgottenAt;
 
   friend bool operator==(const PollingState &, const PollingState &) = default;
 };
@@ -101,18 +105,14 @@
   friend bool operator==(const PollingStep &, const PollingStep &) = default;
 };
 
-// Handles a report. It has no effect unless it is newer than what is known of
-// the target.
+// Handles a report. It has no effect unless the roster accepts it.
 [[nodiscard]] PollingStep
 handleReport(PollingState Before, const State &Current, roster::Report Value,
              const PollingOptions &Options, core::Time Now);
 
-// Handles a target's message that it is leaving. If the message names the
-// incarnation, that instance ends. Otherwise the message may be an old one, and
-// the target is only marked as draining, so that it gets no new work.
-[[nodiscard]] PollingState
-handleLeave(PollingState Before, const core::TargetId &Id,
-            std::optional<std::uint64_t> Incarnation);
+// Handles a target's message that it is leaving.
+[[nodiscard]] PollingState handleLeave(PollingState Before,
+                                       const roster::Departure &Value);
 
 // Updates the polling state after commands were applied.
 [[nodiscard]] PollingState afterApplied(PollingState Before,
--- a/packages/emulator/scenario.cpp
+++ b/packages/emulator/scenario.cpp
@@ -307,13 +307,15 @@
     return true;
   });
   for (PendingReport &Each : Arrived) {
-    bool IsNewest = Sim.m_Polling.m_Roster.isNewer(Each.m_Report);
+    bool IsAccepted = Sim.m_Polling.m_Roster.judge(
+                          Each.m_Report, Sim.m_Scenario.m_Polling.m_Roster,
+                          Sim.m_Now) == roster::ReportVerdict::Accepted;
     control::PollingStep Next = control::handleReport(
         std::move(Sim.m_Polling), Sim.m_State, Each.m_Report,
         Sim.m_Scenario.m_Polling, Sim.m_Now);
     Sim.m_Polling = std::move(Next.m_Polling);
     propose(Sim, std::move(Next.m_Commands));
-    if (IsNewest)
+    if (IsAccepted)
       Sim.m_UnansweredReports.insert_or_assign(Each.m_Report.m_Target, Each);
   }
 }
--- a/packages/emulator/target.cpp
+++ b/packages/emulator/target.cpp
@@ -26,7 +26,8 @@
                        .m_Incarnation = m_Incarnation,
                        .m_Sequence = ++m_Sequence,
                        .m_Pool = "pool",
-                       .m_Address = m_Id.text(),
+                       .m_Address = m_Id.text() + ":1",
+                       .m_SourceHost = m_Id.text(),
                        .m_Rack = m_Rack,
                        .m_Capacity = m_Capacity,
                        .m_Ended = m_Ended};
--- a/packages/messages/json_reader.cpp
+++ b/packages/messages/json_reader.cpp
@@ -4,23 +4,12 @@
 
 namespace fireflydrift::messages::impl {
 
-// More nesting than any request needs; limits the parser's stack use. Values
-// that are nested deeper are discarded while parsing.
-static constexpr int MaxDepth = 16;
-
 std::string write(const Json &Value) {
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-static Json parseBounded(const std::string &Text) {
-  auto IsDepthAllowed = [](int Depth, Json::parse_event_t, Json &) {
-    return Depth <= MaxDepth;
-  };
-  return Json::parse(Text, IsDepthAllowed, false);
-}
-
 ObjectReader ObjectReader::parse(const std::string &Text) {
-  ObjectReader Reader(parseBounded(Text), "");
+  ObjectReader Reader(parseJson(Text), "");
   if (Reader.m_Value.is_discarded())
     Reader.fail("", "must be JSON");
   else if (!Reader.m_Value.is_object())
--- a/packages/messages/json_reader.h
+++ b/packages/messages/json_reader.h
@@ -4,9 +4,9 @@
 #define FIREFLYDRIFT_MESSAGES_JSON_READER_H
 
 #include "core/outcome.h"
+#include "messages/parse_json.h"
 
 #include <map>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
--- a/packages/messages/trace.cpp
+++ b/packages/messages/trace.cpp
@@ -126,7 +126,7 @@
 }
 
 core::Outcome<control::Trace> decodeTrace(const std::string &Text) {
-  Json Document = Json::parse(Text, nullptr, false);
+  Json Document = parseJson(Text);
   if (!Document.is_object())
     return invalid("", "must be a JSON object");
   for (const char *Field : {"targets", "events"})
--- a/packages/roster/health.cpp
+++ b/packages/roster/health.cpp
@@ -52,6 +52,14 @@
   return std::move(*this);
 }
 
+Health Health::without(const std::vector<core::TargetId> &Ids) && {
+  for (const core::TargetId &Id : Ids) {
+    m_Failures.erase(Id);
+    m_Progress.erase(Id);
+  }
+  return std::move(*this);
+}
+
 Health Health::withReport(const Report &Value, core::Time Now) && {
   std::map<workflow::TaskKey, Progress> Next;
   std::map<workflow::TaskKey, Progress> &Known = m_Progress[Value.m_Target];
--- a/packages/roster/health.h
+++ b/packages/roster/health.h
@@ -59,13 +59,14 @@
   // After a run ended: only the causes Done and Failed affect the health.
   [[nodiscard]] Health withRunEnd(const core::TargetId &Id, EndCause Cause,
                                   core::Time Now) &&;
-  // After a run was found to be stalled: its target becomes suspect, like one
-  // on which runs fail.
+  // After a run was found to be stalled, or a target ignored the orders to
+  // start one: the target becomes suspect, like one on which runs fail.
   [[nodiscard]] Health withStalledRun(const core::TargetId &Id,
                                       const HealthOptions &Options,
                                       core::Time Now) &&;
   // After a report: records which of its runs made progress.
   [[nodiscard]] Health withReport(const Report &Value, core::Time Now) &&;
+  [[nodiscard]] Health without(const std::vector<core::TargetId> &Ids) &&;
 
   friend bool operator==(const Health &, const Health &) = default;
 
--- a/packages/roster/report.h
+++ b/packages/roster/report.h
@@ -54,7 +54,10 @@
   // Increases with each report of one instance.
   std::uint64_t m_Sequence = 0;
   std::string m_Pool;
+  // Host and port at which the target serves.
   std::string m_Address;
+  // The host from which the report arrived; empty when unknown.
+  std::string m_SourceHost;
   std::string m_FailureDomain;
   std::string m_Rack;
   std::vector<std::string> m_Labels;
@@ -104,6 +107,27 @@
   friend bool operator==(const Orders &, const Orders &) = default;
 };
 
+// Limits that every genuine report keeps.
+struct ReportLimits {
+  // How far the start time of an instance may lie ahead of this VM's clock. A
+  // clock that is set to another time zone is off by less.
+  core::Duration m_MaxClockDifference{std::chrono::hours(24)};
+  // More reports than one instance can send, and exact in every JSON library.
+  std::uint64_t m_MaxSequence = std::uint64_t{1} << 53U;
+
+  friend bool operator==(const ReportLimits &, const ReportLimits &) = default;
+};
+
+// Returns why no target can have sent the report, whatever is known of it; code
+// None when one can. Now is the wall-clock time.
+[[nodiscard]] core::Reason
+checkReport(const Report &Value, const ReportLimits &Limits, core::Time Now);
+
+// True when the report came from the host that it names as the target's: only a
+// program on that host can have sent it. False says nothing where addresses are
+// translated on the way.
+[[nodiscard]] bool isFromOwnHost(const Report &Value);
+
 [[nodiscard]] const char *toString(EndCause Value) noexcept;
 // The outcome of the run for the workflow.
 [[nodiscard]] workflow::RunOutcome runOutcomeOf(EndCause Value) noexcept;
--- a/packages/roster/roster.cpp
+++ b/packages/roster/roster.cpp
@@ -17,24 +17,83 @@
   return Found == m_Members.end() ? nullptr : &Found->second;
 }
 
-bool Roster::isNewer(const Report &Value) const {
+const Member *Roster::ownerOf(const std::string &Address) const {
+  auto Owner = m_Addresses.find(Address);
+  return Owner == m_Addresses.end() ? nullptr : find(Owner->second);
+}
+
+// ---- Verdicts --------------------------------------------------------------
+
+// A sequence number that lies further behind the newest one can't be that of a
+// delayed report: the newest one was not the target's.
+static constexpr std::uint64_t MaxSequenceLag = std::uint64_t{1} << 40U;
+
+static bool hasLostItsLeases(const Member &Value, const RosterOptions &Options,
+                             core::Time Now) {
+  return Now >= std::max(Value.m_LeaseUntil,
+                         Value.m_LastReportAt + longestLease(Options));
+}
+
+// The verdict on another report of the instance.
+static ReportVerdict judgeSameInstance(const Member &Known, const Report &Value,
+                                       const RosterOptions &Options,
+                                       core::Time Now) {
+  const Report &Last = Known.m_LastReport;
+  bool FromElsewhere = isFromOwnHost(Last) && !isFromOwnHost(Value);
+  if (Value.m_Address != Last.m_Address || Value.m_Pool != Last.m_Pool ||
+      FromElsewhere)
+    return ReportVerdict::Mismatched;
+  bool LastWasOdd = Last.m_Sequence > Value.m_Sequence &&
+                    (Last.m_Sequence - Value.m_Sequence > MaxSequenceLag ||
+                     hasLostItsLeases(Known, Options, Now));
+  bool IsNext = Value.m_Sequence > Last.m_Sequence || LastWasOdd;
+  return IsNext ? ReportVerdict::Accepted : ReportVerdict::Outdated;
+}
+
+// True when a newer instance on the same host shows that the holder has ended.
+static bool hasEndedBefore(const Member &Holder, const Report &Claim,
+                           const RosterOptions &Options, core::Time Now) {
+  return Claim.m_Incarnation >= Holder.m_LastReport.m_Incarnation &&
+         isFromOwnHost(Claim) && isFromOwnHost(Holder.m_LastReport) &&
+         Now - Holder.m_LastReportAt >= Options.m_TakeoverAfter;
+}
+
+// The verdict on a report of another instance than the one that holds the id or
+// the address. An instance that reports from its own host goes before one that
+// does not, and a confirmed one before one that has reported once.
+static ReportVerdict judgeClaim(const Member &Holder, const Report &Claim,
+                                const RosterOptions &Options, core::Time Now) {
+  if (hasLostItsLeases(Holder, Options, Now) ||
+      hasEndedBefore(Holder, Claim, Options, Now))
+    return ReportVerdict::Accepted;
+  bool HolderIsHome = isFromOwnHost(Holder.m_LastReport);
+  bool ClaimIsHome = isFromOwnHost(Claim);
+  if (HolderIsHome != ClaimIsHome)
+    return ClaimIsHome ? ReportVerdict::Accepted : ReportVerdict::Contested;
+  if (!HolderIsHome && !Holder.m_Confirmed)
+    return ReportVerdict::Accepted;
+  return Claim.m_Incarnation < Holder.m_LastReport.m_Incarnation
+             ? ReportVerdict::Outdated
+             : ReportVerdict::Contested;
+}
+
+ReportVerdict Roster::judge(const Report &Value, const RosterOptions &Options,
+                            core::Time Now) const {
   auto Ended = m_EndedIncarnations.find(Value.m_Target);
   if (Ended != m_EndedIncarnations.end() &&
       Value.m_Incarnation <= Ended->second)
-    return false;
+    return ReportVerdict::Outdated;
   const Member *Known = find(Value.m_Target);
-  if (!Known || Value.m_Incarnation > Known->m_LastReport.m_Incarnation) {
-    // A delayed report of an older instance may arrive from an address that a
-    // newer instance uses by now.
-    auto AddressOwner = m_Addresses.find(Value.m_Address);
-    const Member *Other = AddressOwner == m_Addresses.end()
-                              ? nullptr
-                              : find(AddressOwner->second);
-    return !Other || Other->m_LastReport.m_Target == Value.m_Target ||
-           Value.m_Incarnation >= Other->m_LastReport.m_Incarnation;
+  if (Known && Known->m_LastReport.m_Incarnation == Value.m_Incarnation)
+    return judgeSameInstance(*Known, Value, Options, Now);
+  if (Known) {
+    ReportVerdict Verdict = judgeClaim(*Known, Value, Options, Now);
+    if (Verdict != ReportVerdict::Accepted)
+      return Verdict;
   }
-  return Value.m_Incarnation == Known->m_LastReport.m_Incarnation &&
-         Value.m_Sequence > Known->m_LastReport.m_Sequence;
+  const Member *Owner = ownerOf(Value.m_Address);
+  return Owner && Owner != Known ? judgeClaim(*Owner, Value, Options, Now)
+                                 : ReportVerdict::Accepted;
 }
 
 bool Roster::isExpired(const workflow::TargetInstance &Instance,
@@ -43,58 +102,94 @@
   if (Ended != m_EndedIncarnations.end() &&
       Instance.m_Incarnation <= Ended->second)
     return true;
+  auto Displaced = m_Displaced.find(Instance);
+  if (Displaced != m_Displaced.end())
+    return Now >= Displaced->second;
   const Member *Known = find(Instance.m_Target);
-  if (Known && Known->m_LastReport.m_Incarnation > Instance.m_Incarnation)
-    return true;
   // While the target reports, the instance is not expired even without a lease:
   // its reports say which runs have ended.
   if (Known && Known->m_LastReport.m_Incarnation == Instance.m_Incarnation)
-    return Now >= std::max(Known->m_LeaseUntil,
-                           Known->m_LastReportAt + longestLease(Options));
-  return Now >= m_LeaderSince + longestLease(Options);
+    return hasLostItsLeases(*Known, Options, Now);
+  // This leader has never heard from the instance, or not for a long time. A
+  // newer instance that reports from its own host shows that it has ended,
+  // unless it might still be heard.
+  bool HasSuccessor =
+      Known && Known->m_LastReport.m_Incarnation > Instance.m_Incarnation &&
+      isFromOwnHost(Known->m_LastReport) &&
+      Now >= m_LeaderSince + Options.m_TakeoverAfter;
+  return HasSuccessor || Now >= m_LeaderSince + longestLease(Options);
+}
+
+std::vector<core::TargetId> Roster::forgettable(const RosterOptions &Options,
+                                                core::Time Now) const {
+  std::vector<core::TargetId> Found;
+  for (const auto &[Id, Each] : m_Members)
+    if (Now - Each.m_LastReportAt >= Options.m_ForgetAfter &&
+        hasLostItsLeases(Each, Options, Now))
+      Found.push_back(Id);
+  return Found;
 }
 
 bool Roster::isSchedulable(const Member &Value, const RosterOptions &Options,
                            core::Time Now) const noexcept {
-  return !Value.m_LastReport.m_Draining &&
+  return Value.isCredible() && !Value.m_LastReport.m_Draining &&
          Now - Value.m_LastReportAt < Options.m_SilentAfter;
 }
 
 // ---- Updates ---------------------------------------------------------------
 
-void Roster::endInstance(const core::TargetId &Id, std::uint64_t Incarnation) {
-  std::uint64_t &Ended = m_EndedIncarnations[Id];
-  Ended = std::max(Ended, Incarnation);
+void Roster::removeMember(const core::TargetId &Id) {
   auto Known = m_Members.find(Id);
-  if (Known == m_Members.end() ||
-      Known->second.m_LastReport.m_Incarnation > Incarnation)
+  if (Known == m_Members.end())
     return;
-  auto Address = m_Addresses.find(Known->second.m_LastReport.m_Address);
-  if (Address != m_Addresses.end() && Address->second == Id)
-    m_Addresses.erase(Address);
+  m_Addresses.erase(Known->second.m_LastReport.m_Address);
   m_Members.erase(Known);
 }
 
+void Roster::endInstance(const core::TargetId &Id, std::uint64_t Incarnation) {
+  std::uint64_t &Ended = m_EndedIncarnations[Id];
+  Ended = std::max(Ended, Incarnation);
+  removeMember(Id);
+}
+
+// Removes the instance that holds the id or the address of an accepted claim.
+// Its runs count as over at once only if it has certainly ended.
+void Roster::replaceHolder(const core::TargetId &Id, const Report &Claim,
+                           const RosterOptions &Options, core::Time Now) {
+  const Member Holder = m_Members.at(Id);
+  if (hasEndedBefore(Holder, Claim, Options, Now))
+    return endInstance(Id, Holder.m_LastReport.m_Incarnation);
+  std::erase_if(m_Displaced,
+                [&](const auto &Each) { return Each.second <= Now; });
+  if (!hasLostItsLeases(Holder, Options, Now))
+    m_Displaced[Holder.instance()] = std::max(
+        Holder.m_LeaseUntil, Holder.m_LastReportAt + longestLease(Options));
+  removeMember(Id);
+}
+
 Roster Roster::withReport(Report Value, const RosterOptions &Options,
                           core::Time Now) && {
-  if (!isNewer(Value))
+  if (judge(Value, Options, Now) != ReportVerdict::Accepted)
     return std::move(*this);
   const Member *Known = find(Value.m_Target);
   bool IsNewInstance =
       !Known || Known->m_LastReport.m_Incarnation != Value.m_Incarnation;
-  if (IsNewInstance && Known)
-    endInstance(Value.m_Target, Known->m_LastReport.m_Incarnation);
-  auto AddressOwner = m_Addresses.find(Value.m_Address);
-  if (AddressOwner != m_Addresses.end() &&
-      AddressOwner->second != Value.m_Target) {
-    core::TargetId Earlier = AddressOwner->second;
-    endInstance(Earlier, m_Members.at(Earlier).m_LastReport.m_Incarnation);
+  if (IsNewInstance) {
+    if (Known)
+      replaceHolder(Value.m_Target, Value, Options, Now);
+    if (const Member *Owner = ownerOf(Value.m_Address))
+      replaceHolder(core::TargetId(Owner->m_LastReport.m_Target), Value,
+                    Options, Now);
+    // An instance that was displaced and reports again is not displaced.
+    m_Displaced.erase(
+        {.m_Target = Value.m_Target, .m_Incarnation = Value.m_Incarnation});
   }
   Member &Current = m_Members[Value.m_Target];
   if (IsNewInstance) {
     Current.m_FirstReportAt = Now;
     Current.m_LeaseUntil = m_LeaderSince + longestLease(Options);
   }
+  Current.m_Confirmed = Current.m_Confirmed || Current.m_Answered;
   Current.m_LastReportAt = Now;
   m_Addresses[Value.m_Address] = Value.m_Target;
   Current.m_LastReport = std::move(Value);
@@ -105,23 +200,49 @@
                                  const RosterOptions &Options,
                                  core::Time ReportedAt) && {
   auto Found = m_Members.find(Id);
-  if (Found != m_Members.end())
-    Found->second.m_LeaseUntil = std::max(Found->second.m_LeaseUntil,
-                                          ReportedAt + longestLease(Options));
+  if (Found == m_Members.end())
+    return std::move(*this);
+  Found->second.m_Answered = true;
+  Found->second.m_LeaseUntil =
+      std::max(Found->second.m_LeaseUntil, ReportedAt + longestLease(Options));
   return std::move(*this);
 }
 
-Roster Roster::withDeparture(const core::TargetId &Id,
-                             std::optional<std::uint64_t> Incarnation) && {
-  auto Found = m_Members.find(Id);
+Roster Roster::withDeparture(const Departure &Value) && {
+  auto Found = m_Members.find(Value.m_Target);
   if (Found == m_Members.end())
     return std::move(*this);
-  std::uint64_t CurrentIncarnation = Found->second.m_LastReport.m_Incarnation;
-  if (Incarnation == CurrentIncarnation)
-    endInstance(Id, CurrentIncarnation);
-  else if (!Incarnation)
-    Found->second.m_LastReport.m_Draining = true;
+  Report &Last = Found->second.m_LastReport;
+  if (Value.m_Incarnation && *Value.m_Incarnation != Last.m_Incarnation)
+    return std::move(*this);
+  Report Sender = Last;
+  Sender.m_SourceHost = Value.m_SourceHost;
+  bool IsCredible = Last.m_Draining || isFromOwnHost(Sender);
+  if (Value.m_Incarnation && IsCredible)
+    endInstance(Value.m_Target, *Value.m_Incarnation);
+  else
+    Last.m_Draining = true;
   return std::move(*this);
 }
 
+Roster Roster::without(const std::vector<core::TargetId> &Ids) && {
+  for (const core::TargetId &Id : Ids)
+    removeMember(Id);
+  return std::move(*this);
+}
+
+const char *toString(ReportVerdict Value) noexcept {
+  switch (Value) {
+  case ReportVerdict::Accepted:
+    return "accepted";
+  case ReportVerdict::Outdated:
+    return "outdated";
+  case ReportVerdict::Mismatched:
+    return "mismatched";
+  case ReportVerdict::Contested:
+    return "contested";
+  }
+  return "accepted";
+}
+
 } // namespace fireflydrift::roster
--- a/packages/runtime/counters.cpp
+++ b/packages/runtime/counters.cpp
@@ -71,6 +71,8 @@
       {"fireflydrift_link_silent_total",
        "Connections to a VM closed because they had stalled"},
       {"fireflydrift_log_entries", "Log entries in memory"},
+      {"fireflydrift_messages_refused_total",
+       "Reports, frames and heartbeats refused as invalid or not credible"},
       {"fireflydrift_missing_guarantees", "Guarantees that can't be satisfied"},
       {"fireflydrift_operations_total", "Operations decided as leader"},
       {"fireflydrift_placements_total", "Placement decisions by verdict"},
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -80,6 +80,14 @@
   return Headers;
 }
 
+static std::string readPeerHost(h2o_req_t *Request) {
+  sockaddr_storage Address{};
+  auto *Peer = reinterpret_cast<sockaddr *>(&Address);
+  socklen_t Length =
+      Request->conn->callbacks->get_peername(Request->conn, Peer);
+  return Length == 0 ? std::string() : numericHost(*Peer, Length);
+}
+
 static HttpRequest readRequest(h2o_req_t *Request) {
   std::string Path = toText(Request->path);
   auto QueryStart = Path.find('?');
@@ -88,7 +96,8 @@
                     .m_Host = toText(Request->authority),
                     .m_Headers = readHeaders(Request),
                     .m_Body = toText(Request->entity),
-                    .m_Token = readToken(Request)};
+                    .m_Token = readToken(Request),
+                    .m_PeerHost = readPeerHost(Request)};
   if (QueryStart != std::string::npos)
     Value.m_Query = readQuery(Path.substr(QueryStart + 1));
   return Value;
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -22,6 +22,8 @@
   std::string m_Body;
   // Token of an "Authorization: Bearer" header; empty without one.
   std::string m_Token;
+  // Numeric address from which the request arrived; empty when unknown.
+  std::string m_PeerHost;
 
   friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
 };
--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -1,7 +1,6 @@
 #include "runtime/links.h"
 
 #include "runtime/address.h"
-#include "runtime/events.h"
 #include "runtime/sockets.h"
 
 #include <algorithm>
@@ -57,7 +56,7 @@
 
 // A connection that was accepted from another VM.
 struct IncomingConnection {
-  Links::OnMessage *m_OnMessage = nullptr;
+  const Links::Handlers *m_Handlers = nullptr;
   // Calls Impl::peer() of the Links that accepted the connection.
   std::function<PeerConnection *(const core::VmId &)> m_FindPeer;
   h2o_socket_t *m_Socket = nullptr;
@@ -77,8 +76,7 @@
   core::VmId m_Self;
   membership::VmAddress m_OwnAddress;
   LinkOptions m_Options;
-  OnMessage m_OnMessage;
-  OnHeartbeat m_OnHeartbeat;
+  Handlers m_Handlers;
   std::map<core::VmId, PeerConnection> m_Peers;
   std::list<ClosingSocket> m_ClosingSockets;
   h2o_socket_t *m_Listener = nullptr;
@@ -267,6 +265,25 @@
   h2o_socket_write(Connection.m_Socket, &Buffer, 1, onAcksWritten);
 }
 
+static std::string peerHost(h2o_socket_t *Socket) {
+  sockaddr_storage Address{};
+  auto *Peer = reinterpret_cast<sockaddr *>(&Address);
+  socklen_t Length = h2o_socket_getpeername(Socket, Peer);
+  return Length == 0 ? std::string() : numericHost(*Peer, Length);
+}
+
+static bool refuseFrame(const IncomingConnection &Connection,
+                        const core::Reason &Reason) {
+  Connection.m_Handlers->m_OnRefused({.m_Kind = "frame",
+                                      .m_Source = peerHost(Connection.m_Socket),
+                                      .m_Reason = Reason});
+  return false;
+}
+
+static core::Reason unknownSender() {
+  return {core::ReasonCode::NotFound, "sender", "is not a VM of this system"};
+}
+
 // Decodes the complete frames of the input. Returns false for an invalid frame
 // or an unknown sender.
 static bool readFrames(IncomingConnection &Connection,
@@ -276,21 +293,19 @@
     std::uint32_t Length = 0;
     std::memcpy(&Length, Socket->input->bytes, FrameHeaderBytes);
     if (Length > messages::MaxEncodedBytes)
-      return false;
+      return refuseFrame(Connection, {core::ReasonCode::TooLarge, "length",
+                                      "exceeds the limit for a frame"});
     if (Socket->input->size < FrameHeaderBytes + Length) {
       Connection.m_ProgressPending = true;
       return true;
     }
     auto Decoded = messages::decodeEnvelope(
         std::string_view(Socket->input->bytes + FrameHeaderBytes, Length));
-    if (!Decoded) {
-      logEvent(Event::MessageRefused,
-               {{"reason", core::toString(Decoded.reason())}});
-      return false;
-    }
+    if (!Decoded)
+      return refuseFrame(Connection, Decoded.reason());
     PeerConnection *Peer = Connection.m_FindPeer(Decoded->m_From);
     if (!Peer)
-      return false;
+      return refuseFrame(Connection, unknownSender());
     Peer->m_Traffic.m_BytesIn += FrameHeaderBytes + Length;
     ++Peer->m_Traffic.m_FramesIn;
     ++Connection.m_PendingAcks;
@@ -313,9 +328,8 @@
     return;
   }
   writeAcks(*Connection);
-  Links::OnMessage &Handle = *Connection->m_OnMessage;
   for (messages::Envelope &Each : Arrived)
-    Handle(std::move(Each));
+    Connection->m_Handlers->m_OnMessage(std::move(Each));
 }
 
 // ---- Links -----------------------------------------------------------------
@@ -339,10 +353,8 @@
 
 Links::~Links() = default;
 
-core::Outcome<bool> Links::listen(OnMessage MessageHandler,
-                                  OnHeartbeat HeartbeatHandler) {
-  m_Impl->m_OnMessage = std::move(MessageHandler);
-  m_Impl->m_OnHeartbeat = std::move(HeartbeatHandler);
+core::Outcome<bool> Links::listen(Handlers Values) {
+  m_Impl->m_Handlers = std::move(Values);
   // A single VM without peers needs no listener.
   if (m_Impl->m_Peers.empty() && m_Impl->m_Options.m_DiscoveryPort == 0)
     return true;
@@ -368,7 +380,7 @@
   while (h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener)) {
     setNoDelay(Socket);
     auto *Connection = new IncomingConnection{
-        .m_OnMessage = &Self->m_OnMessage,
+        .m_Handlers = &Self->m_Handlers,
         .m_FindPeer = [Self](const core::VmId &Vm) { return Self->peer(Vm); },
         .m_Socket = Socket};
     Socket->data = Connection;
@@ -382,19 +394,25 @@
     return;
   std::array<char, MaxDatagramBytes> Buffer{};
   while (true) {
-    ssize_t Count =
-        recv(h2o_socket_get_fd(Socket), Buffer.data(), Buffer.size(), 0);
+    sockaddr_storage Address{};
+    auto *Sender = reinterpret_cast<sockaddr *>(&Address);
+    socklen_t Length = sizeof(Address);
+    ssize_t Count = recvfrom(h2o_socket_get_fd(Socket), Buffer.data(),
+                             Buffer.size(), 0, Sender, &Length);
     if (Count < 0)
       return;
     auto Decoded = messages::decodeHeartbeat(
         std::string_view(Buffer.data(), static_cast<std::size_t>(Count)));
-    if (!Decoded)
-      continue;
-    PeerConnection *Peer = Self->peer(Decoded->m_From);
-    if (!Peer)
+    PeerConnection *Peer = Decoded ? Self->peer(Decoded->m_From) : nullptr;
+    if (!Peer) {
+      Self->m_Handlers.m_OnRefused(
+          {.m_Kind = "heartbeat",
+           .m_Source = numericHost(*Sender, Length),
+           .m_Reason = Decoded ? unknownSender() : Decoded.reason()});
       continue;
+    }
     Peer->m_Traffic.m_BytesIn += static_cast<std::uint64_t>(Count);
-    Self->m_OnHeartbeat(*std::move(Decoded));
+    Self->m_Handlers.m_OnHeartbeat(*std::move(Decoded));
   }
 }
 
--- a/packages/runtime/links.h
+++ b/packages/runtime/links.h
@@ -5,6 +5,7 @@
 
 #include "messages/codec.h"
 #include "runtime/loop.h"
+#include "runtime/refusals.h"
 
 #include <optional>
 #include <set>
@@ -46,6 +47,16 @@
 public:
   using OnMessage = std::function<void(messages::Envelope)>;
   using OnHeartbeat = std::function<void(membership::Heartbeat)>;
+  using OnRefused = std::function<void(const Refusal &)>;
+
+  // What receives the messages of other VMs; each must be set.
+  struct Handlers {
+    OnMessage m_OnMessage;
+    OnHeartbeat m_OnHeartbeat;
+    // Called for each frame or datagram that can't be decoded or comes from an
+    // unknown VM.
+    OnRefused m_OnRefused;
+  };
 
   Links(Loop &EventLoop, core::VmId Self,
         std::vector<membership::VmAddress> Vms, LinkOptions Options);
@@ -56,8 +67,7 @@
   // Binds the VM's own address and starts receiving. Does not bind when this is
   // the only VM and discovery is off. Fails with Io, or with InvalidInput when
   // the address is not numeric.
-  [[nodiscard]] core::Outcome<bool> listen(OnMessage MessageHandler,
-                                           OnHeartbeat HeartbeatHandler);
+  [[nodiscard]] core::Outcome<bool> listen(Handlers Values);
 
   [[nodiscard]] std::map<core::VmId, LinkTraffic> traffic() const;
 
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -105,8 +105,11 @@
                std::to_string(m_Replica->replica().m_Log.lastIndex())}});
   }
   return m_Links.listen(
-      [this](messages::Envelope Value) { onMessage(std::move(Value)); },
-      [this](const membership::Heartbeat &Value) { onHeartbeat(Value); });
+      {.m_OnMessage =
+           [this](messages::Envelope Value) { onMessage(std::move(Value)); },
+       .m_OnHeartbeat =
+           [this](const membership::Heartbeat &Value) { onHeartbeat(Value); },
+       .m_OnRefused = [this](const Refusal &Value) { recordRefusal(Value); }});
 }
 
 // ---- Observation -----------------------------------------------------------
@@ -539,10 +542,18 @@
                                   m_Replica->state(), Now);
 }
 
-void Node::leave(const core::TargetId &Id,
-                 std::optional<std::uint64_t> Incarnation) {
+core::Reason Node::checkReport(const roster::Report &Value) const {
+  return roster::checkReport(
+      Value, m_Settings.m_Leader.m_Polling.m_ReportLimits, now());
+}
+
+void Node::leave(const roster::Departure &Value) {
   if (leads(now()))
-    m_LeaderDriver.polling().leave(Id, Incarnation);
+    m_LeaderDriver.polling().leave(Value);
+}
+
+void Node::recordRefusal(const Refusal &Value) {
+  m_Refusals = runtime::recordRefusal(m_Refusals, m_Counters, Value, now());
 }
 
 void Node::drain(core::Time Now) {
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -36,10 +36,13 @@
   // Handles the report of a target that fetches its orders. Answers with
   // nullopt on a VM that does not lead.
   void report(roster::Report Value, OrdersCallback Answer);
+  // Why no target can have sent the report; code None when one can.
+  [[nodiscard]] core::Reason checkReport(const roster::Report &Value) const;
   // Handles a target's notice that it leaves now; ignored on a VM that does not
   // lead.
-  void leave(const core::TargetId &Id,
-             std::optional<std::uint64_t> Incarnation);
+  void leave(const roster::Departure &Value);
+  // Counts a message that was refused, and logs one a second.
+  void recordRefusal(const Refusal &Value);
   // The current leader as far as this VM knows; empty while it knows none.
   [[nodiscard]] core::VmId leader(core::Time Now) const;
   [[nodiscard]] bool leads(core::Time Now) const;
@@ -104,6 +107,7 @@
   core::Time m_LastReplicaTickAt;
   core::Time m_LastHeartbeatAt;
   core::Time m_DrainingSince;
+  RefusalLimiter m_Refusals;
 };
 
 } // namespace fireflydrift::runtime
--- a/packages/runtime/polling_driver.cpp
+++ b/packages/runtime/polling_driver.cpp
@@ -45,6 +45,7 @@
              {{"target", Value.m_Target.text()},
               {"incarnation", std::to_string(Value.m_Incarnation)},
               {"address", Value.m_Address},
+              {"source", Value.m_SourceHost},
               {"rack", Value.m_Rack}});
   for (const roster::EndedTask &Each : Value.m_Ended)
     logEvent(Event::RunEnded, {{"task", workflow::toString(Each.m_Task)},
@@ -53,16 +54,38 @@
                                {"target", Value.m_Target.text()}});
 }
 
+void PollingDriver::refuse(const roster::Report &Value,
+                           roster::ReportVerdict Verdict, core::Time Now) {
+  if (Verdict == roster::ReportVerdict::Outdated)
+    return logEvent(Event::ReportStale,
+                    {{"target", Value.m_Target.text()},
+                     {"sequence", std::to_string(Value.m_Sequence)}});
+  bool Contested = Verdict == roster::ReportVerdict::Contested;
+  m_Refusals = recordRefusal(
+      m_Refusals, m_Counters,
+      {.m_Kind = "report",
+       .m_Source = Value.m_SourceHost,
+       .m_Subject = Value.m_Target.text(),
+       .m_Reason = {core::ReasonCode::Conflict, roster::toString(Verdict),
+                    Contested ? "another instance with this id or address may "
+                                "still run tasks"
+                              : "address, pool or source differ from earlier "
+                                "reports of the instance"}},
+      Now);
+}
+
 void PollingDriver::report(roster::Report Value, OrdersCallback Answer,
                            const control::State &State, core::Time Now) {
   if (!m_Polling)
     return Answer(std::nullopt);
   m_Counters.add("fireflydrift_reports_total");
   core::TargetId Id = Value.m_Target;
-  if (!m_Polling->m_Roster.isNewer(Value)) {
-    logEvent(Event::ReportStale,
-             {{"target", Id.text()},
-              {"sequence", std::to_string(Value.m_Sequence)}});
+  roster::ReportVerdict Verdict =
+      m_Polling->m_Roster.judge(Value, m_Options.m_Roster, Now);
+  if (Verdict != roster::ReportVerdict::Accepted) {
+    refuse(Value, Verdict, Now);
+    // Without a lease. A target whose earlier instance still holds leases
+    // reports again until these have expired.
     return Answer(roster::Orders{.m_FencingToken = m_FencingToken});
   }
   const roster::Member *Known = m_Polling->m_Roster.find(Id);
@@ -97,12 +120,12 @@
     m_PendingReports.emplace(Id, std::move(Pending));
 }
 
-void PollingDriver::leave(const core::TargetId &Id,
-                          std::optional<std::uint64_t> Incarnation) {
+void PollingDriver::leave(const roster::Departure &Value) {
   if (!m_Polling)
     return;
-  logEvent(Event::TargetLeaving, {{"target", Id.text()}});
-  m_Polling = control::handleLeave(*std::move(m_Polling), Id, Incarnation);
+  logEvent(Event::TargetLeaving,
+           {{"target", Value.m_Target.text()}, {"source", Value.m_SourceHost}});
+  m_Polling = control::handleLeave(*std::move(m_Polling), Value);
 }
 
 // ---- Answers ---------------------------------------------------------------
--- a/packages/runtime/polling_driver.h
+++ b/packages/runtime/polling_driver.h
@@ -4,7 +4,7 @@
 #define FIREFLYDRIFT_RUNTIME_POLLING_DRIVER_H
 
 #include "control/polling.h"
-#include "runtime/counters.h"
+#include "runtime/refusals.h"
 
 #include <functional>
 
@@ -34,8 +34,7 @@
   void end();
   void report(roster::Report Value, OrdersCallback Answer,
               const control::State &State, core::Time Now);
-  void leave(const core::TargetId &Id,
-             std::optional<std::uint64_t> Incarnation);
+  void leave(const roster::Departure &Value);
   void onApplied(const control::ApplyResult &Result,
                  const control::State &State);
   // Ends the runs of lost targets, runs an assignment pass if MayPass is true
@@ -54,6 +53,8 @@
               const roster::Orders &Orders, const control::State &State,
               core::Time Now);
   void answerPending(const control::State &State, core::Time Now);
+  void refuse(const roster::Report &Value, roster::ReportVerdict Verdict,
+              core::Time Now);
   void logOrders(const core::TargetId &Id, const roster::Orders &Orders);
 
   control::PollingOptions m_Options;
@@ -62,6 +63,7 @@
   std::optional<control::PollingState> m_Polling;
   std::uint64_t m_FencingToken = 0;
   std::map<core::TargetId, PendingReport> m_PendingReports;
+  RefusalLimiter m_Refusals;
   // True when a change may have led to orders for pending reports.
   bool m_OrdersMayDiffer = false;
 };
--- a/packages/runtime/sockets.cpp
+++ b/packages/runtime/sockets.cpp
@@ -1,5 +1,6 @@
 #include "runtime/sockets.h"
 
+#include <netdb.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -14,6 +15,14 @@
   return Socket;
 }
 
+std::string numericHost(const sockaddr &Address, socklen_t Length) {
+  char Text[NI_MAXHOST];
+  // h2o does not change the address.
+  std::size_t Size =
+      h2o_socket_getnumerichost(const_cast<sockaddr *>(&Address), Length, Text);
+  return Size == SIZE_MAX ? std::string() : std::string(Text, Size);
+}
+
 void setNoDelay(h2o_socket_t *Socket) {
   int Enable = 1;
   setsockopt(h2o_socket_get_fd(Socket), IPPROTO_TCP, TCP_NODELAY, &Enable,
--- a/packages/runtime/sockets.h
+++ b/packages/runtime/sockets.h
@@ -13,6 +13,10 @@
 [[nodiscard]] h2o_socket_t *watch(const Loop &EventLoop, int File, void *Data,
                                   h2o_socket_cb Callback);
 
+// The address in text form; empty when it can't be converted.
+[[nodiscard]] std::string numericHost(const sockaddr &Address,
+                                      socklen_t Length);
+
 // Disables Nagle's algorithm, so that small writes are sent at once.
 void setNoDelay(h2o_socket_t *Socket);
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -69,11 +69,40 @@
            {R"("labels":["a","r1-3"])", R"("labels":"a")"},
            {R"(["5c0e.0.1.17",2,"0bb8",41,0])", R"(["5c0e.0.1.17",2])"},
            {R"("lapsed")", R"("vanished")"},
-           {R"("gpu":8)", R"("gpu":-8)"}})
+           {R"("gpu":8)", R"("gpu":-8)"},
+           {R"("born":1700)", R"("born":1e400)"},
+           {R"("born":1700)", R"("born":18446744073709551616)"},
+           {R"("born":1700)", R"("born":-1)"},
+           {R"("sequence":4)", R"("sequence":4.5)"}})
     EXPECT_FALSE(decodeReport("i-1", replaced(ReportBody, From, To))) << From;
   EXPECT_FALSE(decodeReport("i-1", "\xff\xfe{"));
 }
 
+// Numbers above 32 bits were cut: run 4294967296 became run 0.
+TEST(PlatformCodec, DoesNotCutNumbers) {
+  EXPECT_FALSE(decodeReport(
+      "i-1", replaced(ReportBody, R"(17",2,)", R"(17",4294967296,)")));
+  EXPECT_FALSE(decodeReport(
+      "i-1", replaced(ReportBody, R"(9",1,)", R"(9",4294967297,)")));
+  auto Report = decodeReport(
+      "i-1", replaced(ReportBody, R"("0bb8",41)", R"("0bb8",1e300)"));
+  ASSERT_TRUE(Report);
+  EXPECT_EQ(Report->m_Running[0].m_Percent, 100);
+  EXPECT_FALSE(decodeJob(
+      R"({"steps":[{"count":1},{"count":1,"dependencies":[4294967296]}]})"));
+}
+
+// A few bytes for each level must not take memory for a tree of any depth.
+TEST(PlatformCodec, RejectsDeepNesting) {
+  constexpr std::size_t Depth = 500000;
+  std::string Deep = std::string(Depth, '[') + std::string(Depth, ']');
+  std::string Field = R"("x":)" + Deep + ",";
+  EXPECT_FALSE(decodeReport("i-1", "{" + Field + ReportBody.substr(1)));
+  EXPECT_FALSE(decodeManifest("{" + Field + Manifest.substr(1)));
+  EXPECT_FALSE(decodeJob("{" + Field + R"("steps":[{"count":1}]})"));
+  EXPECT_FALSE(decodeJob(Deep));
+}
+
 TEST(PlatformCodec, ReadsAManifestAndKeepsItsText) {
   auto Read = decodeManifest(Manifest);
   ASSERT_TRUE(Read) << core::toString(Read.reason());
--- a/tests/runtime/links_test.cpp
+++ b/tests/runtime/links_test.cpp
@@ -27,8 +27,10 @@
                 {{.m_Id = A, .m_Host = m_Host, .m_Port = APort},
                  {.m_Id = B, .m_Host = m_Host, .m_Port = BPort}},
                 Options) {
-    EXPECT_TRUE(m_Links.listen([](const messages::Envelope &) {},
-                               [](const membership::Heartbeat &) {}));
+    EXPECT_TRUE(m_Links.listen(
+        {.m_OnMessage = [](const messages::Envelope &) {},
+         .m_OnHeartbeat = [](const membership::Heartbeat &) {},
+         .m_OnRefused = [this](const Refusal &) { ++m_Refused; }}));
   }
   ~LinksTest() override { close(m_Listener); }
 
@@ -95,6 +97,7 @@
   std::string m_Host;
   int m_Listener;
   Links m_Links;
+  int m_Refused = 0;
 };
 
 } // namespace
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -1,7 +1,8 @@
-// A stand-in for the users' platform, without injected faults: targets that
-// poll for orders, an operator, and callers that poll their jobs. Counts
-// accepted jobs that did not complete as lost, and reports every violated
-// guarantee, such as a task that ran twice.
+// A stand-in for the users' platform: targets that poll for orders, an
+// operator, callers that poll their jobs, and a foreign writer beside the
+// targets. Counts accepted jobs that did not complete as lost, and reports
+// every violated guarantee, such as a task that ran twice.
+#include "standin/foreign_writer.h"
 #include "standin/manifest_operator.h"
 #include "standin/queue_callers.h"
 
@@ -53,14 +54,18 @@
                         .m_Jobs = Jobs,
                         .m_CancelPercent = 0,
                         .m_Key = Key});
+  ForeignWriter Foreign(EventLoop, {.m_ControlAddresses = Controls,
+                                    .m_Targets = Targets.count()});
   constexpr core::Duration TickInterval{20};
   constexpr core::Duration Timeout{120000};
   core::Time End = EventLoop.now() + Timeout;
+  Foreign.writeUntil(End);
   bool ReportedHalf = false;
   Operator.sendNext(EventLoop.now());
   EventLoop.run([&] {
     core::Time Now = EventLoop.now();
     Targets.tick(Now);
+    Foreign.tick(Now);
     Operator.tick(Now);
     if (Operator.isConfigured())
       Callers.tick(Now);
@@ -72,12 +77,18 @@
   });
 
   Totals Sum = Checker.totals();
+  if (Foreign.wronglyAccepted() > 0)
+    Checker.recordViolation("foreign",
+                            std::to_string(Foreign.wronglyAccepted()) +
+                                " invalid reports were accepted",
+                            EventLoop.now());
   for (const std::string &Each : Checker.violations())
     std::cout << "broken: " << Each << std::endl;
   std::cout << "platform: " << Sum.m_Accepted << " accepted, "
             << Sum.m_Completed << " completed, "
             << Sum.m_Accepted - Sum.m_Completed << " lost, "
-            << Checker.violations().size() << " broken" << std::endl;
+            << Checker.violations().size() << " broken, " << Foreign.sent()
+            << " foreign messages" << std::endl;
   bool AllCompleted = Sum.m_Accepted == Jobs && Sum.m_Completed == Jobs;
   return AllCompleted && Checker.violations().empty() ? 0 : 1;
 }
--- a/tests/standin/workers.cpp
+++ b/tests/standin/workers.cpp
@@ -14,12 +14,19 @@
 // flight.
 static constexpr core::Duration ReportDelayAfterEnd{50};
 
+std::string workerId(int Index) { return "i-" + std::to_string(Index); }
+
+std::string workerAddress(int Index) {
+  return "10.9.0." + std::to_string(Index + 1) + ":80";
+}
+
 Workers::Workers(runtime::Loop &EventLoop, HistoryChecker &Checker,
                  WorkerOptions Options, OnLeaderChange OnChange)
     : m_Loop(EventLoop), m_Checker(Checker), m_Options(std::move(Options)),
       m_OnLeaderChange(std::move(OnChange)), m_Client(EventLoop) {
   for (int I = 0; I < m_Options.m_Count; ++I)
-    m_Workers.push_back({.m_Id = "i-" + std::to_string(I),
+    m_Workers.push_back({.m_Id = workerId(I),
+                         .m_Address = workerAddress(I),
                          .m_Control = static_cast<std::size_t>(I)});
 }
 
@@ -163,7 +170,7 @@
     Running.push_back(
         {Name, Value.m_Number, Value.m_Checkpoint, ReportedPercent});
   Json Body{{"service", "pool"},
-            {"address", Target.m_Id + ":80"},
+            {"address", Target.m_Address},
             {"zone", "z"},
             {"state", "ready"},
             {"born", Target.m_Incarnation},
@@ -293,6 +300,7 @@
     if (stepOf(Value.m_Name).m_Gang)
       endGangMembers(Value, "broken", Now);
   Target = {.m_Id = Target.m_Id,
+            .m_Address = Target.m_Address,
             .m_Control = Target.m_Control,
             .m_Incarnation = Target.m_Incarnation + 1,
             .m_NextAt = Now + m_Options.m_ReportInterval};
--- a/tests/standin/workers.h
+++ b/tests/standin/workers.h
@@ -36,6 +36,12 @@
                          const WorkerOptions &) = default;
 };
 
+// The id and the address of the target with this zero-based index. The address
+// is not the one from which its reports arrive, as behind a translation of
+// addresses.
+[[nodiscard]] std::string workerId(int Index);
+[[nodiscard]] std::string workerAddress(int Index);
+
 class Workers {
 public:
   // Called with the host of the leader when an answer names a new one.
@@ -69,6 +75,7 @@
   };
   struct Worker {
     std::string m_Id;
+    std::string m_Address;
     std::size_t m_Control = 0;
     std::uint64_t m_Incarnation = 1;
     std::uint64_t m_Sequence = 0;
