Give new work only to targets that have confirmed an answer

Cause: departures are volatile state of a leader. A report that a partition had delayed could bring a target that had left back on the next leader, which then assigned work to it; so could one odd entry from the target's own host. Change: an instance gets work once it has reported again after an answer; the first answer is sent at once. Ruled out: departures in the log (a new command that replicas of the present version can't read, for the same effect).

--- a/packages/control/orders.cpp
+++ b/packages/control/orders.cpp
@@ -102,8 +102,8 @@
   bool HasUnacknowledgedEnds =
       !Last.m_Ended.empty() &&
       Last.m_Ended.back().m_Number > Orders.m_AcknowledgedThrough;
-  // A target becomes credible with its next report.
-  Out.m_SendNow = !Target.isCredible() || !Orders.m_Starts.empty() ||
+  // A target is confirmed by its next report.
+  Out.m_SendNow = !Target.m_Confirmed || !Orders.m_Starts.empty() ||
                   !Orders.m_Stops.empty() ||
                   (!Last.m_Ended.empty() && !HasUnacknowledgedEnds);
   bool Idle = Last.m_Running.empty() && !Last.m_Draining;
--- a/packages/roster/roster.cpp
+++ b/packages/roster/roster.cpp
@@ -132,7 +132,7 @@
 
 bool Roster::isSchedulable(const Member &Value, const RosterOptions &Options,
                            core::Time Now) const noexcept {
-  return Value.isCredible() && !Value.m_LastReport.m_Draining &&
+  return Value.m_Confirmed && !Value.m_LastReport.m_Draining &&
          Now - Value.m_LastReportAt < Options.m_SilentAfter;
 }
 
--- a/packages/roster/roster.h
+++ b/packages/roster/roster.h
@@ -53,20 +53,17 @@
   core::Time m_LastReportAt;
   // No lease on the target ends later than this.
   core::Time m_LeaseUntil;
-  // True once a report was answered with a lease, and once another report
-  // arrived after that.
+  // True once a report was answered with a lease.
   bool m_Answered = false;
+  // True once another report arrived after that: the target receives its
+  // answers. A delayed report of a target that has left, or a single foreign
+  // one, is never confirmed.
   bool m_Confirmed = false;
 
   [[nodiscard]] workflow::TargetInstance instance() const {
     return {.m_Target = m_LastReport.m_Target,
             .m_Incarnation = m_LastReport.m_Incarnation};
   }
-  // True when the report came from the target's own host, or more than one
-  // report shows that the target receives its answers.
-  [[nodiscard]] bool isCredible() const {
-    return m_Confirmed || isFromOwnHost(m_LastReport);
-  }
   friend bool operator==(const Member &, const Member &) = default;
 };
 
@@ -110,8 +107,8 @@
   [[nodiscard]] bool isExpired(const workflow::TargetInstance &Instance,
                                const RosterOptions &Options,
                                core::Time Now) const;
-  // True when the target may get new work. A single report from elsewhere than
-  // the target's own host does not suffice.
+  // True when the target may get new work: it is confirmed, not silent and not
+  // draining.
   [[nodiscard]] bool isSchedulable(const Member &Value,
                                    const RosterOptions &Options,
                                    core::Time Now) const noexcept;
--- a/tests/control/polling_test.cpp
+++ b/tests/control/polling_test.cpp
@@ -99,6 +99,14 @@
   PollingState Polling =
       handleReport(beginPolling(at(0)), Current, Report, Options, at(0))
           .m_Polling;
+  // The target's next report confirms it, so that it may get new work.
+  Polling = recordOrdersSent(std::move(Polling), Current, Target, {}, Options,
+                             at(0), at(0));
+  ++Report.m_Sequence;
+  Polling = handleReport(std::move(Polling), Current, Report, Options, at(0))
+                .m_Polling;
+  ASSERT_TRUE(Polling.m_Roster.isSchedulable(*Polling.m_Roster.find(Target),
+                                             Options.m_Roster, at(0)));
   Polling.m_Preempted[{Spec.m_Id, 0, 0}] = 1;
   core::Time Later = at(0) + Options.m_MaxPassInterval;
   EXPECT_TRUE(tick(std::move(Polling), Current, Options, true, Later)
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -206,23 +206,29 @@
 // ---- New work --------------------------------------------------------------
 
 TEST(Roster, ASilentOrDrainingTargetGetsNoNewWork) {
-  Roster Value = withReport(Roster(at(0)), homeReport(5, 1), 100);
+  Roster Value = confirmed();
   const Member Known = *Value.find(Target);
-  EXPECT_TRUE(Value.isSchedulable(Known, Options, at(200)));
+  EXPECT_TRUE(Value.isSchedulable(Known, Options, at(300)));
   EXPECT_FALSE(
-      Value.isSchedulable(Known, Options, at(100) + Options.m_SilentAfter));
-  Report Leaving = homeReport(5, 2);
+      Value.isSchedulable(Known, Options, at(200) + Options.m_SilentAfter));
+  Report Leaving = report(5, 3);
   Leaving.m_Draining = true;
-  Value = withReport(Value, Leaving, 200);
-  EXPECT_FALSE(Value.isSchedulable(*Value.find(Target), Options, at(200)));
+  Value = withReport(Value, Leaving, 300);
+  EXPECT_FALSE(Value.isSchedulable(*Value.find(Target), Options, at(300)));
 }
 
-// One odd entry must attract no work.
-TEST(Roster, ASingleReportFromElsewhereGetsNoWork) {
-  Roster Value = withAnsweredReport(Roster(at(0)), report(5, 1), 100);
-  EXPECT_FALSE(Value.isSchedulable(*Value.find(Target), Options, at(150)));
-  Value = withReport(std::move(Value), report(5, 2), 200);
-  EXPECT_TRUE(Value.isSchedulable(*Value.find(Target), Options, at(250)));
+// A new leader may get a delayed report of a target that has left, or an odd
+// entry of another writer. Neither must attract work.
+TEST(Roster, ASingleReportGetsNoWork) {
+  for (const char *Source : {"", "10.0.0.1"}) {
+    auto Next = [&](std::uint64_t Sequence) {
+      return report(5, Sequence, "t", "10.0.0.1:1", Source);
+    };
+    Roster Value = withAnsweredReport(Roster(at(0)), Next(1), 100);
+    EXPECT_FALSE(Value.isSchedulable(*Value.find(Target), Options, at(150)));
+    Value = withReport(std::move(Value), Next(2), 200);
+    EXPECT_TRUE(Value.isSchedulable(*Value.find(Target), Options, at(250)));
+  }
 }
 
 TEST(Roster, ForgetsTargetsThatAreSilentForLong) {
--- a/tests/runtime/polling_driver_test.cpp
+++ b/tests/runtime/polling_driver_test.cpp
@@ -47,6 +47,9 @@
 } // namespace
 
 TEST_F(PollingDriverTest, HoldsTheAnswerToAnIdleTarget) {
+  report(nextReport());
+  // The first answer is sent at once, so that the target can confirm it.
+  EXPECT_TRUE(m_Answer);
   report(nextReport());
   EXPECT_FALSE(m_Answer);
   m_Now += m_Options.m_MaxIdleHold;
@@ -59,6 +62,7 @@
 // A process that was paused in the middle of a tick gave orders and leases
 // although its leadership had run out meanwhile.
 TEST_F(PollingDriverTest, GivesNoOrdersOnceItsLeaseHasRunOut) {
+  report(nextReport());
   report(nextReport());
   m_HoldsLease = false;
   m_Now += m_Options.m_MaxIdleHold;
