Let what a message, a tick and a lost leader cost follow what changed

All servers share what descriptors leave. - a full queue of new connections drops opening packets for a second: 4,096.

Ruled out: heartbeats from each to each VM (entries know only replicas).

--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -2,6 +2,8 @@
 
 #include "control/view.h"
 
+#include <algorithm>
+
 namespace fireflydrift::control {
 
 using workflow::TaskKey;
@@ -89,6 +91,28 @@
   }
 }
 
+// True when a report shows anything that an assignment pass depends on other
+// than the progress of runs.
+static bool changesFleet(const roster::Member *Known,
+                         const roster::Report &Next,
+                         const PollingOptions &Options, core::Time Now) {
+  if (!Known || !Known->m_Confirmed ||
+      Now - Known->m_LastReportAt >= Options.m_Roster.m_SilentAfter)
+    return true;
+  const roster::Report &Last = Known->m_LastReport;
+  bool SameTarget = Last.m_Incarnation == Next.m_Incarnation &&
+                    Last.m_Draining == Next.m_Draining &&
+                    Last.m_Capacity == Next.m_Capacity &&
+                    Last.m_Labels == Next.m_Labels;
+  auto IsSameRun = [](const roster::RunningTask &A,
+                      const roster::RunningTask &B) {
+    return A.m_Run == B.m_Run && A.m_Task == B.m_Task;
+  };
+  return !SameTarget ||
+         !std::equal(Last.m_Running.begin(), Last.m_Running.end(),
+                     Next.m_Running.begin(), Next.m_Running.end(), IsSameRun);
+}
+
 PollingStep handleReport(PollingState Before, const State &Current,
                          roster::Report Value, const PollingOptions &Options,
                          core::Time Now) {
@@ -98,16 +122,18 @@
       roster::ReportVerdict::Accepted)
     return Out;
   core::TargetId Id = Value.m_Target;
+  Out.m_Polling.m_PassNeeded =
+      Out.m_Polling.m_PassNeeded ||
+      changesFleet(Roster.find(Id), Value, Options, Now);
   Roster =
       std::move(Roster).withReport(std::move(Value), Options.m_Roster, Now);
-  const roster::Member Target = *Out.m_Polling.m_Roster.find(Id);
+  const roster::Member &Target = *Out.m_Polling.m_Roster.find(Id);
   updateHealth(Out, Current, Target, Options, Now);
   for (const roster::EndedTask &Each : Target.m_LastReport.m_Ended)
     if (isAssignedRun(Current, Each.m_Task, Each.m_Run, Target.instance()))
       proposeEnd(Out, Each.m_Task, Each.m_Run,
                  roster::runOutcomeOf(Each.m_Cause), Each.m_Checkpoint);
   endStoppedRuns(Out, Current, Target, Options, Now);
-  Out.m_Polling.m_PassNeeded = true;
   return Out;
 }
 
--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <iostream>
 #include <popt.h>
+#include <sys/resource.h>
 
 using namespace fireflydrift;
 using namespace fireflydrift::runtime;
@@ -123,6 +124,7 @@
 // main HTTP API.
 static core::Outcome<bool>
 openPlatformListeners(Loop &EventLoop, const Settings &Values,
+                      const std::shared_ptr<ConnectionBudget> &Budget,
                       platform::PlatformApi &Api,
                       std::vector<std::unique_ptr<HttpServer>> &Servers) {
   const ListenAddresses &Listen = Values.m_Listen;
@@ -142,6 +144,7 @@
     if (Address->m_Port == 0)
       continue;
     HttpServerOptions Options = Values.m_Http;
+    Options.m_Budget = Budget;
     Options.m_Host = Address->m_Host;
     Options.m_Port = Address->m_Port;
     Servers.push_back(
@@ -153,6 +156,18 @@
   return true;
 }
 
+// Descriptors for the links to other VMs, two for each, for files and for
+// connections to targets.
+static constexpr std::size_t ReservedDescriptors = 768;
+
+// The servers' share of the descriptors that the process may open.
+static std::shared_ptr<ConnectionBudget> makeConnectionBudget() {
+  rlimit Descriptors{};
+  getrlimit(RLIMIT_NOFILE, &Descriptors);
+  return std::make_shared<ConnectionBudget>(ConnectionBudget{
+      .m_Limit = connectionLimit(Descriptors.rlim_cur, ReservedDescriptors)});
+}
+
 static int runServer(const Settings &Values, Tokens InitialTokens,
                      const TokenFiles &Files) {
   Loop EventLoop;
@@ -165,6 +180,7 @@
   }
   HttpApi Api(ThisNode, std::move(InitialTokens));
   HttpServerOptions Options = Values.m_Http;
+  Options.m_Budget = makeConnectionBudget();
   // The server accepts bodies up to 25 % over the limit, so that the API can
   // reject them with a reason.
   Options.m_MaxBodyBytes += Options.m_MaxBodyBytes / 4;
@@ -180,8 +196,8 @@
   }
   platform::PlatformApi PlatformEndpoints(ThisNode);
   std::vector<std::unique_ptr<HttpServer>> PlatformServers;
-  auto Opened = openPlatformListeners(EventLoop, Values, PlatformEndpoints,
-                                      PlatformServers);
+  auto Opened = openPlatformListeners(EventLoop, Values, Options.m_Budget,
+                                      PlatformEndpoints, PlatformServers);
   if (!Opened) {
     logEvent(Event::ListenFailed,
              {{"reason", core::toString(Opened.reason())}});
--- a/packages/membership/membership.cpp
+++ b/packages/membership/membership.cpp
@@ -32,27 +32,25 @@
 }
 
 Membership Membership::withReplicas(const std::vector<core::VmId> &Replicas,
-                                    core::Time Now) const {
-  Membership Next = *this;
+                                    core::Time Now) && {
   for (const core::VmId &Vm : Replicas)
-    Next.addDiscovered(Vm, Now);
-  Next.m_Replicas = {Replicas.begin(), Replicas.end()};
-  return Next;
+    addDiscovered(Vm, Now);
+  m_Replicas = {Replicas.begin(), Replicas.end()};
+  return std::move(*this);
 }
 
 Membership Membership::withoutUnresponsive(core::Time Now,
-                                           core::Duration Timeout) const {
-  Membership Next = *this;
+                                           core::Duration Timeout) && {
   if (!hasDiscovery())
-    return Next;
-  std::erase_if(Next.m_Contacts, [&](const auto &Each) {
+    return std::move(*this);
+  std::erase_if(m_Contacts, [&](const auto &Each) {
     const auto &[Vm, Known] = Each;
     core::Time Last = std::max(
         {Known.m_LastDatagram, Known.m_LastFrame, Known.m_DiscoveredAt});
     bool Kept = Vm == m_Self || m_Seeds.contains(Vm) || m_Replicas.contains(Vm);
     return !Kept && Now - Last >= Timeout;
   });
-  return Next;
+  return std::move(*this);
 }
 
 const Contact *Membership::find(const core::VmId &Vm) const {
@@ -106,15 +104,13 @@
   return Best ? Best->m_Leader : core::VmId();
 }
 
-Membership Membership::withDatagram(const Heartbeat &Value,
-                                    core::Time Now) const {
-  Membership Next = *this;
-  Next.addDiscovered(Value.m_From, Now);
+Membership Membership::withDatagram(const Heartbeat &Value, core::Time Now) && {
+  addDiscovered(Value.m_From, Now);
   for (const core::VmId &Vm : Value.m_Replicas)
-    Next.addDiscovered(Vm, Now);
-  auto Found = Next.m_Contacts.find(Value.m_From);
-  if (Found == Next.m_Contacts.end())
-    return Next;
+    addDiscovered(Vm, Now);
+  auto Found = m_Contacts.find(Value.m_From);
+  if (Found == m_Contacts.end())
+    return std::move(*this);
   Contact &Known = Found->second;
   Known.m_MessageReceived = true;
   Known.m_LastDatagram = std::max(Known.m_LastDatagram, Now);
@@ -124,18 +120,17 @@
   Known.m_Draining = Value.m_Draining;
   Known.m_Leader = Value.m_Leader;
   Known.m_Term = Value.m_Term;
-  return Next;
+  return std::move(*this);
 }
 
-Membership Membership::withFrame(const core::VmId &From, core::Time Now) const {
-  Membership Next = *this;
-  Next.addDiscovered(From, Now);
-  auto Found = Next.m_Contacts.find(From);
-  if (Found == Next.m_Contacts.end())
-    return Next;
+Membership Membership::withFrame(const core::VmId &From, core::Time Now) && {
+  addDiscovered(From, Now);
+  auto Found = m_Contacts.find(From);
+  if (Found == m_Contacts.end())
+    return std::move(*this);
   Found->second.m_MessageReceived = true;
   Found->second.m_LastFrame = std::max(Found->second.m_LastFrame, Now);
-  return Next;
+  return std::move(*this);
 }
 
 const char *toString(Liveness Value) noexcept {
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -117,21 +117,23 @@
     return m_DiscoveryPort != 0;
   }
 
+  // These return the changed membership and consume this one: a copy for each
+  // message would make the cost of a message grow with the number of VMs.
+  //
   // With discovery, adds these VMs, which this VM's own log names as replicas,
   // and does not remove them as unresponsive until a later call omits them.
   // After a power loss they may be all that is left of the replica set, and the
   // seeds may know no other VM.
   [[nodiscard]] Membership withReplicas(const std::vector<core::VmId> &Replicas,
-                                        core::Time Now) const;
+                                        core::Time Now) &&;
   // With discovery, removes the VMs that have been silent for at least Timeout,
   // except this VM, the seeds and the replicas.
   [[nodiscard]] Membership withoutUnresponsive(core::Time Now,
-                                               core::Duration Timeout) const;
-  // Return the membership after a datagram or a frame from a VM arrived.
+                                               core::Duration Timeout) &&;
+  // After a datagram or a frame from a VM arrived.
   [[nodiscard]] Membership withDatagram(const Heartbeat &Value,
-                                        core::Time Now) const;
-  [[nodiscard]] Membership withFrame(const core::VmId &From,
-                                     core::Time Now) const;
+                                        core::Time Now) &&;
+  [[nodiscard]] Membership withFrame(const core::VmId &From, core::Time Now) &&;
 
   friend bool operator==(const Membership &, const Membership &) = default;
 
--- a/packages/runtime/address.cpp
+++ b/packages/runtime/address.cpp
@@ -7,7 +7,9 @@
 
 namespace fireflydrift::runtime {
 
-static constexpr int ListenBacklog = 512;
+// All targets may connect at once when their leader is lost. A full queue drops
+// the opening packet, which is sent again only after a second.
+static constexpr int ListenBacklog = 4096;
 
 core::Outcome<sockaddr_in> toAddress(const std::string &Host,
                                      std::uint16_t Port) {
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -36,6 +36,9 @@
   std::size_t m_Connections = 0;
   bool m_Draining = false;
 
+  [[nodiscard]] bool mayAccept() const;
+  void count(int Change);
+
   static int onRequest(h2o_handler_t *Base, h2o_req_t *Request);
   static void onAccept(h2o_socket_t *Listener, const char *Error);
   static void onClose(void *Data);
@@ -182,15 +185,32 @@
       readRequest(Request), [Self, Link](const HttpResponse &Value) {
         h2o_req_t *Pending = std::exchange(Link->m_Request, nullptr);
         if (Pending)
-          sendResponse(Pending, Value, Self->m_Draining);
+          sendResponse(Pending, Value, Self->m_Draining || Value.m_Close);
       });
   return 0;
 }
 
 // ---- Connections -----------------------------------------------------------
 
+std::size_t connectionLimit(std::size_t Descriptors,
+                            std::size_t Reserved) noexcept {
+  return Descriptors > Reserved ? Descriptors - Reserved : 1;
+}
+
+bool HttpServer::Impl::mayAccept() const {
+  const std::shared_ptr<ConnectionBudget> &Budget = m_Options.m_Budget;
+  return m_Connections < m_Options.m_MaxConnections &&
+         (!Budget || Budget->m_Open < Budget->m_Limit);
+}
+
+void HttpServer::Impl::count(int Change) {
+  m_Connections += static_cast<std::size_t>(Change);
+  if (m_Options.m_Budget)
+    m_Options.m_Budget->m_Open += static_cast<std::size_t>(Change);
+}
+
 void HttpServer::Impl::onClose(void *Data) {
-  --static_cast<Impl *>(Data)->m_Connections;
+  static_cast<Impl *>(Data)->count(-1);
 }
 
 void HttpServer::Impl::onAccept(h2o_socket_t *Listener, const char *Error) {
@@ -198,11 +218,13 @@
   if (Error)
     return;
   while (h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener)) {
-    if (Self->m_Connections >= Self->m_Options.m_MaxConnections) {
+    // Accepted and closed at once: a connection that stays in the queue would
+    // wake the loop again and again.
+    if (!Self->mayAccept()) {
       h2o_socket_close(Socket);
       continue;
     }
-    ++Self->m_Connections;
+    Self->count(1);
     Socket->on_close.cb = onClose;
     Socket->on_close.data = Self;
     h2o_accept(&Self->m_Accept, Socket);
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -38,6 +38,9 @@
   // URL to which the client should send its request instead, sent as Location;
   // empty omits the header.
   std::string m_Location;
+  // Closes the connection after the response: the client's next request goes
+  // elsewhere.
+  bool m_Close = false;
 
   friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
 };
@@ -47,11 +50,29 @@
 using Responder = std::function<void(HttpResponse)>;
 using HttpHandler = std::function<void(HttpRequest, Responder)>;
 
+// The connections that all servers of a process may hold together, so that
+// descriptors are left for its files and for the links to other VMs.
+struct ConnectionBudget {
+  std::size_t m_Open = 0;
+  std::size_t m_Limit = 0;
+
+  friend bool operator==(const ConnectionBudget &,
+                         const ConnectionBudget &) = default;
+};
+
+// The connections for which the process has descriptors, when it needs Reserved
+// others. At least one.
+[[nodiscard]] std::size_t connectionLimit(std::size_t Descriptors,
+                                          std::size_t Reserved) noexcept;
+
 struct HttpServerOptions {
   std::string m_Host;
   std::uint16_t m_Port = 0;
   std::size_t m_MaxBodyBytes = 0;
   std::size_t m_MaxConnections = 0;
+  // Shared by the servers of a process; without one, only m_MaxConnections
+  // limits this server.
+  std::shared_ptr<ConnectionBudget> m_Budget;
   // Time limit for a client to send a complete request.
   core::Duration m_RequestTimeout{10000};
   // Certificate and private key files in PEM format; TLS is disabled while they
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -8,6 +8,15 @@
 namespace fireflydrift::runtime {
 
 static constexpr core::Duration ReplicaTickInterval{25};
+// How long a report is held while no leader is known. Its target drops an
+// answer that takes longer than a second.
+static constexpr core::Duration HoldWithoutLeader{700};
+// Bounds the memory that held reports take.
+static constexpr std::size_t MaxHeldReports = 4096;
+// Held reports that are sent on to a new leader in one tick.
+static constexpr std::size_t MaxReleasedReports = 64;
+// Interval between two looks at all connections to other VMs.
+static constexpr core::Duration MaintainInterval{10};
 // Time without any message after which a discovered VM is removed, unless it is
 // a replica.
 static constexpr core::Duration RemoveVmAfter{30000};
@@ -236,7 +245,7 @@
 }
 
 void Node::onMessage(messages::Envelope Value) {
-  m_Membership = m_Membership.withFrame(Value.m_From, now());
+  m_Membership = std::move(m_Membership).withFrame(Value.m_From, now());
   std::visit([&](auto &Typed) { handle(Value.m_From, Typed); }, Value.m_Body);
 }
 
@@ -286,7 +295,7 @@
 
 void Node::onHeartbeat(const membership::Heartbeat &Value) {
   core::Time Now = now();
-  m_Membership = m_Membership.withDatagram(Value, Now);
+  m_Membership = std::move(m_Membership).withDatagram(Value, Now);
   if (m_Replica && m_Membership.hasDiscovery() && !Value.m_Replicas.empty())
     m_Replica->step(replica::PeersDiscovered{.m_Vms = {Value.m_Replicas.begin(),
                                                        Value.m_Replicas.end()}},
@@ -435,8 +444,9 @@
 void Node::removeUnresponsiveVms(core::Time Now) {
   if (!m_Membership.hasDiscovery())
     return;
-  m_Membership = m_Membership.withReplicas(knownReplicas(), Now);
-  m_Membership = m_Membership.withoutUnresponsive(Now, RemoveVmAfter);
+  m_Membership = std::move(m_Membership).withReplicas(knownReplicas(), Now);
+  m_Membership =
+      std::move(m_Membership).withoutUnresponsive(Now, RemoveVmAfter);
   std::set<core::VmId> Known;
   for (const auto &[Vm, Contact] : m_Membership.contacts())
     Known.insert(Vm);
@@ -492,7 +502,7 @@
     m_Links.reconnect(Vm);
     // Counts as a received frame, so that the new connection gets the full time
     // before it counts as stalled.
-    m_Membership = m_Membership.withFrame(Vm, Now);
+    m_Membership = std::move(m_Membership).withFrame(Vm, Now);
   }
 }
 
@@ -512,7 +522,10 @@
 
 core::Duration Node::tick() {
   core::Time Now = now();
-  m_Links.maintain(Now);
+  if (Now - m_LastMaintainAt >= MaintainInterval) {
+    m_LastMaintainAt = Now;
+    m_Links.maintain(Now);
+  }
   m_HttpClient.expire(Now);
   if (m_Replica)
     tickReplica(Now);
@@ -528,6 +541,7 @@
     m_LeaderDriver.flush(Now);
     m_Replica->flush(Now);
   }
+  releaseHeldReports(Now);
   if (!leads(Now))
     return ReplicaTickInterval;
   if (m_LeaderDriver.hasWork(m_Replica->state()))
@@ -537,10 +551,38 @@
 
 void Node::report(roster::Report Value, OrdersCallback Answer) {
   core::Time Now = now();
-  if (!leads(Now))
+  if (leads(Now)) {
+    m_LeaderDriver.polling().report(std::move(Value), std::move(Answer),
+                                    m_Replica->state(), Now);
+    return;
+  }
+  if (!leader(Now).empty() || m_HeldReports.size() >= MaxHeldReports)
     return Answer(std::nullopt);
-  m_LeaderDriver.polling().report(std::move(Value), std::move(Answer),
-                                  m_Replica->state(), Now);
+  m_HeldReports.push_back({.m_Report = std::move(Value),
+                           .m_Answer = std::move(Answer),
+                           .m_Until = Now + HoldWithoutLeader});
+}
+
+// Answers held reports once a leader is known. Those that are sent to another
+// VM are released some at a time, so that they do not reach it all at once.
+void Node::releaseHeldReports(core::Time Now) {
+  bool Leads = leads(Now);
+  bool HasLeader = Leads || !leader(Now).empty();
+  for (std::size_t Released = 0; !m_HeldReports.empty(); ++Released) {
+    HeldReport &First = m_HeldReports.front();
+    bool Due = Leads || (HasLeader && Released < MaxReleasedReports) ||
+               Now >= First.m_Until;
+    if (!Due)
+      return;
+    HeldReport Next = std::move(First);
+    m_HeldReports.pop_front();
+    if (Leads)
+      m_LeaderDriver.polling().report(std::move(Next.m_Report),
+                                      std::move(Next.m_Answer),
+                                      m_Replica->state(), Now);
+    else
+      Next.m_Answer(std::nullopt);
+  }
 }
 
 core::Reason Node::checkReport(const roster::Report &Value) const {
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -10,6 +10,8 @@
 #include "runtime/replica_driver.h"
 #include "runtime/settings.h"
 
+#include <deque>
+
 namespace fireflydrift::runtime {
 
 // Connects the entry, the replica, the leader driver and the links of one VM.
@@ -34,7 +36,9 @@
   [[nodiscard]] std::string metricsText();
 
   // Handles the report of a target that fetches its orders. Answers with
-  // nullopt on a VM that does not lead.
+  // nullopt on a VM that does not lead. While no leader is known, the answer is
+  // held for a while: otherwise all targets would go round the VMs until one is
+  // elected.
   void report(roster::Report Value, OrdersCallback Answer);
   // Why no target can have sent the report; code None when one can.
   [[nodiscard]] core::Reason checkReport(const roster::Report &Value) const;
@@ -79,6 +83,14 @@
   void reopenStalledConnections(core::Time Now);
   void removeUnresponsiveVms(core::Time Now);
   [[nodiscard]] std::vector<core::VmId> knownReplicas() const;
+  void releaseHeldReports(core::Time Now);
+
+  // A report that arrived while no leader was known.
+  struct HeldReport {
+    roster::Report m_Report;
+    OrdersCallback m_Answer;
+    core::Time m_Until;
+  };
 
   Loop &m_Loop;
   Settings m_Settings;
@@ -105,9 +117,12 @@
   replica::Members m_LoggedReplicas;
   std::map<core::VmId, membership::Liveness> m_LastLiveness;
   core::Time m_LastReplicaTickAt;
+  core::Time m_LastMaintainAt;
   core::Time m_LastHeartbeatAt;
   core::Time m_DrainingSince;
   RefusalLimiter m_Refusals;
+  // In the order of arrival.
+  std::deque<HeldReport> m_HeldReports;
 };
 
 } // namespace fireflydrift::runtime
--- a/packages/runtime/polling_driver.cpp
+++ b/packages/runtime/polling_driver.cpp
@@ -19,8 +19,8 @@
   if (m_Polling->m_PassNeeded)
     Wait = std::min(Wait, m_Polling->m_LastPassAt +
                               m_Options.m_MinPassInterval - Now);
-  for (const auto &[Id, Each] : m_PendingReports)
-    Wait = std::min(Wait, Each.m_Until - Now);
+  if (!m_Deadlines.empty())
+    Wait = std::min(Wait, m_Deadlines.begin()->first - Now);
   return std::max(Wait, core::Duration(1));
 }
 
@@ -33,6 +33,8 @@
 
 void PollingDriver::end() {
   m_Polling.reset();
+  m_Deadlines.clear();
+  m_Affected.clear();
   for (auto &[Id, Each] : std::exchange(m_PendingReports, {}))
     Each.m_Answer(std::nullopt);
 }
@@ -97,8 +99,8 @@
              {{"target", Id.text()},
               {"remaining_ms", std::to_string(Value.m_Remaining.count())}});
   // The target no longer waits for the answer to its earlier report.
-  if (auto Earlier = m_PendingReports.extract(Id); !Earlier.empty())
-    Earlier.mapped().m_Answer(std::nullopt);
+  if (auto Earlier = take(Id))
+    Earlier->m_Answer(std::nullopt);
   control::PollingStep Next = control::handleReport(
       *std::move(m_Polling), State, std::move(Value), m_Options, Now);
   m_Polling = std::move(Next.m_Polling);
@@ -121,7 +123,7 @@
   else if (Due)
     answer(Id, Pending, Response.m_Orders, State, Now);
   else
-    m_PendingReports.emplace(Id, std::move(Pending));
+    hold(Id, std::move(Pending));
 }
 
 void PollingDriver::leave(const roster::Departure &Value) {
@@ -130,6 +132,7 @@
   logEvent(Event::TargetLeaving,
            {{"target", Value.m_Target.text()}, {"source", Value.m_SourceHost}});
   m_Polling = control::handleLeave(*std::move(m_Polling), Value);
+  m_Affected.insert(Value.m_Target);
 }
 
 // ---- Answers ---------------------------------------------------------------
@@ -160,33 +163,49 @@
   Value.m_Answer(Orders);
 }
 
+void PollingDriver::hold(const core::TargetId &Id, PendingReport Value) {
+  m_Deadlines.emplace(Value.m_Until, Id);
+  m_PendingReports.emplace(Id, std::move(Value));
+}
+
+std::optional<PollingDriver::PendingReport>
+PollingDriver::take(const core::TargetId &Id) {
+  auto Found = m_PendingReports.extract(Id);
+  if (Found.empty())
+    return std::nullopt;
+  m_Deadlines.erase({Found.mapped().m_Until, Id});
+  return std::move(Found.mapped());
+}
+
+void PollingDriver::answerIfDue(const core::TargetId &Id,
+                                const control::State &State, core::Time Now) {
+  auto Pending = m_PendingReports.find(Id);
+  if (Pending == m_PendingReports.end())
+    return;
+  const roster::Member *To = m_Polling->m_Roster.find(Id);
+  if (!To) {
+    take(Id)->m_Answer(std::nullopt);
+    return;
+  }
+  control::ReportResponse Response =
+      control::ordersFor(*m_Polling, State, *To, m_Options, m_FencingToken);
+  if (Response.m_SendNow || Now >= Pending->second.m_Until)
+    answer(Id, *take(Id), Response.m_Orders, State, Now);
+}
+
 void PollingDriver::answerPending(const control::State &State, core::Time Now) {
   // The process may have been paused since the lease was last checked. Answers
   // wait until it is renewed, or end() rejects them.
   if (!m_Callbacks.m_HoldsLease())
     return;
-  bool OrdersMayDiffer = std::exchange(m_OrdersMayDiffer, false);
-  for (auto Each = m_PendingReports.begin(); Each != m_PendingReports.end();) {
-    if (!OrdersMayDiffer && Now < Each->second.m_Until) {
-      ++Each;
-      continue;
-    }
-    const roster::Member *To = m_Polling->m_Roster.find(Each->first);
-    control::ReportResponse Response =
-        To ? control::ordersFor(*m_Polling, State, *To, m_Options,
-                                m_FencingToken)
-           : control::ReportResponse{};
-    if (To && !Response.m_SendNow && Now < Each->second.m_Until) {
-      ++Each;
-      continue;
-    }
-    auto Extracted = m_PendingReports.extract(Each++);
-    if (To)
-      answer(Extracted.key(), Extracted.mapped(), Response.m_Orders, State,
-             Now);
-    else
-      Extracted.mapped().m_Answer(std::nullopt);
+  std::set<core::TargetId> Due = std::exchange(m_Affected, {});
+  for (const auto &[Until, Id] : m_Deadlines) {
+    if (Now < Until)
+      break;
+    Due.insert(Id);
   }
+  for (const core::TargetId &Id : Due)
+    answerIfDue(Id, State, Now);
 }
 
 // ---- Ticks -----------------------------------------------------------------
@@ -196,7 +215,20 @@
   if (!m_Polling)
     return;
   m_Polling = control::afterApplied(*std::move(m_Polling), State, Result);
-  m_OrdersMayDiffer = m_OrdersMayDiffer || !Result.m_WorkflowChanges.empty();
+  for (const control::WorkflowChange &Each : Result.m_WorkflowChanges)
+    markAffected(State, Each.m_Workflow);
+}
+
+// A change of one task can change the orders for all tasks of its workflow.
+void PollingDriver::markAffected(const control::State &State,
+                                 const core::RequestId &Workflow) {
+  const workflow::Workflow *Found = control::findWorkflow(State, Workflow);
+  if (!Found)
+    return;
+  for (const workflow::Step &Step : Found->fields().m_Steps)
+    for (const workflow::Task &Each : Step.m_Tasks)
+      if (m_PendingReports.contains(Each.m_Instance.m_Target))
+        m_Affected.insert(Each.m_Instance.m_Target);
 }
 
 static void logAssignment(const control::AssignTasks &Value) {
@@ -221,7 +253,8 @@
     logEvent(Event::RunPreempted, {{"task", workflow::toString(Each.m_Task)},
                                    {"run", std::to_string(Each.m_Run)},
                                    {"for", Each.m_Preemptor.text()}});
-  m_OrdersMayDiffer = m_OrdersMayDiffer || !Next.m_Preemptions.empty();
+  for (const assignment::Preemption &Each : Next.m_Preemptions)
+    markAffected(State, Each.m_Task.m_Workflow);
   for (const control::Command &Each : Next.m_Commands)
     if (const auto *Assigned = std::get_if<control::AssignTasks>(&Each))
       logAssignment(*Assigned);
--- a/packages/runtime/polling_driver.h
+++ b/packages/runtime/polling_driver.h
@@ -7,6 +7,7 @@
 #include "runtime/refusals.h"
 
 #include <functional>
+#include <set>
 
 namespace fireflydrift::runtime {
 
@@ -56,7 +57,13 @@
   void answer(const core::TargetId &Id, const PendingReport &Value,
               const roster::Orders &Orders, const control::State &State,
               core::Time Now);
+  void hold(const core::TargetId &Id, PendingReport Value);
+  [[nodiscard]] std::optional<PendingReport> take(const core::TargetId &Id);
+  void markAffected(const control::State &State,
+                    const core::RequestId &Workflow);
   void answerPending(const control::State &State, core::Time Now);
+  void answerIfDue(const core::TargetId &Id, const control::State &State,
+                   core::Time Now);
   void refuse(const roster::Report &Value, roster::ReportVerdict Verdict,
               core::Time Now);
   void logOrders(const core::TargetId &Id, const roster::Orders &Orders);
@@ -67,9 +74,11 @@
   std::optional<control::PollingState> m_Polling;
   std::uint64_t m_FencingToken = 0;
   std::map<core::TargetId, PendingReport> m_PendingReports;
+  // The pending reports by the time at which they are answered at the latest.
+  std::set<std::pair<core::Time, core::TargetId>> m_Deadlines;
+  // Targets whose orders may have changed since they were last looked at.
+  std::set<core::TargetId> m_Affected;
   RefusalLimiter m_Refusals;
-  // True when a change may have led to orders for pending reports.
-  bool m_OrdersMayDiffer = false;
 };
 
 } // namespace fireflydrift::runtime
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -15,7 +15,7 @@
   DetectionOptions Options;
   Membership Value = twoVms();
   EXPECT_EQ(Value.liveness(B, at(0), Options), Liveness::Unknown);
-  Value = Value.withDatagram({.m_From = B}, at(1000));
+  Value = std::move(Value).withDatagram({.m_From = B}, at(1000));
   EXPECT_EQ(Value.liveness(B, at(1100), Options), Liveness::Alive);
   EXPECT_EQ(Value.liveness(B, at(1000) + Options.m_SuspectAfter, Options),
             Liveness::Suspect);
@@ -26,9 +26,9 @@
 TEST(Membership, DistinguishesAStalledConnectionFromASilentVm) {
   DetectionOptions Options;
   Membership Value = twoVms().withFrame(B, at(0));
-  Value = Value.withDatagram({.m_From = B}, at(10000));
+  Value = std::move(Value).withDatagram({.m_From = B}, at(10000));
   EXPECT_TRUE(Value.isConnectionStalled(B, at(10100), Options));
-  Value = Value.withFrame(B, at(10100));
+  Value = std::move(Value).withFrame(B, at(10100));
   EXPECT_FALSE(Value.isConnectionStalled(B, at(10200), Options));
   // Nothing arrives at all: the VM is silent, not only its connection.
   EXPECT_FALSE(Value.isConnectionStalled(B, at(90000), Options));
@@ -37,7 +37,8 @@
 TEST(Membership, VersionNeverDecreases) {
   Membership Value =
       twoVms().withDatagram({.m_From = B, .m_ConfigurationVersion = 7}, at(2));
-  Value = Value.withDatagram({.m_From = B, .m_ConfigurationVersion = 5}, at(1));
+  Value = std::move(Value).withDatagram(
+      {.m_From = B, .m_ConfigurationVersion = 5}, at(1));
   EXPECT_EQ(Value.find(B)->m_ConfigurationVersion, 7U);
   EXPECT_EQ(Value.find(B)->m_LastDatagram, at(2));
 }
@@ -45,15 +46,18 @@
 TEST(Membership, FollowsTheLeaderOfTheHighestTerm) {
   core::VmId C("c");
   Membership Value(A, {{.m_Id = A}, {.m_Id = B}, {.m_Id = C}});
-  Value = Value.withDatagram({.m_From = B, .m_Leader = B, .m_Term = 4}, at(0));
-  Value = Value.withDatagram({.m_From = C, .m_Leader = C, .m_Term = 5}, at(0));
+  Value = std::move(Value).withDatagram(
+      {.m_From = B, .m_Leader = B, .m_Term = 4}, at(0));
+  Value = std::move(Value).withDatagram(
+      {.m_From = C, .m_Leader = C, .m_Term = 5}, at(0));
   EXPECT_EQ(Value.leader(at(10), {}), C);
   EXPECT_EQ(Value.leader(at(60000), {}), core::VmId());
 }
 
 TEST(Membership, IgnoresUnknownVms) {
   Membership Value = twoVms();
-  EXPECT_EQ(Value.withDatagram({.m_From = core::VmId("x")}, at(1)), Value);
+  EXPECT_EQ(Membership(Value).withDatagram({.m_From = core::VmId("x")}, at(1)),
+            Value);
 }
 
 static VmAddress address(const char *Host) {
@@ -80,8 +84,10 @@
   core::VmId Sender("10.0.0.3");
   Membership Value = membershipWithDiscovery().withFrame(Sender, at(1));
   core::Duration Timeout(1000);
-  EXPECT_NE(Value.withoutUnresponsive(at(500), Timeout).find(Sender), nullptr);
-  Value = Value.withoutUnresponsive(at(2000), Timeout);
+  EXPECT_NE(
+      Membership(Value).withoutUnresponsive(at(500), Timeout).find(Sender),
+      nullptr);
+  Value = std::move(Value).withoutUnresponsive(at(2000), Timeout);
   EXPECT_EQ(Value.find(Sender), nullptr);
   EXPECT_NE(Value.find(core::VmId("10.0.0.2")), nullptr);
   EXPECT_NE(Value.find(core::VmId("10.0.0.1")), nullptr);
@@ -94,8 +100,8 @@
       membershipWithDiscovery().withReplicas({Replica, Former}, at(0));
   ASSERT_NE(Value.find(Replica), nullptr);
   EXPECT_EQ(Value.find(Replica)->m_Address, address("10.0.0.5"));
-  Value = Value.withReplicas({Replica}, at(1));
-  Value = Value.withoutUnresponsive(at(2000), core::Duration(1000));
+  Value = std::move(Value).withReplicas({Replica}, at(1));
+  Value = std::move(Value).withoutUnresponsive(at(2000), core::Duration(1000));
   EXPECT_NE(Value.find(Replica), nullptr);
   EXPECT_EQ(Value.find(Former), nullptr);
 }
@@ -104,7 +110,8 @@
   core::VmId C("c");
   Membership Value(A, {{.m_Id = A}, {.m_Id = B}, {.m_Id = C}});
   for (const core::VmId &Vm : {B, C})
-    Value = Value.withFrame(Vm, at(0)).withDatagram({.m_From = Vm}, at(10000));
+    Value = std::move(Value).withFrame(Vm, at(0)).withDatagram({.m_From = Vm},
+                                                               at(10000));
   EXPECT_EQ(Value.stalledConnections(at(10100), {}),
             (std::vector<core::VmId>{B, C}));
 }
--- a/tests/runtime/http_server_test.cpp
+++ b/tests/runtime/http_server_test.cpp
@@ -23,14 +23,19 @@
         {.m_Host = "127.0.0.1",
          .m_MaxBodyBytes = 1000,
          .m_MaxConnections = 4,
+         .m_Budget = m_Budget,
          .m_RequestTimeout = core::Duration(300)},
         [this](const HttpRequest &Request, const Responder &Respond) {
           ++m_Handled;
-          Respond({.m_Body = Request.m_Body});
+          Respond({.m_Body = Request.m_Body, .m_Close = m_Close});
         });
     ASSERT_TRUE(m_Server->listen());
   }
 
+  std::shared_ptr<ConnectionBudget> m_Budget =
+      std::make_shared<ConnectionBudget>(ConnectionBudget{.m_Limit = 100});
+  bool m_Close = false;
+
   int connect() {
     int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     sockaddr_in Address = *toAddress("127.0.0.1", m_Server->port());
@@ -109,6 +114,36 @@
   close(Slow);
 }
 
+// Without descriptors left, accept() fails and the listener stays ready: the
+// loop would spin.
+TEST_F(HttpServerOnLoopback, EnforcesTheBudgetOfTheProcess) {
+  EXPECT_EQ(connectionLimit(4096, 768), 3328U);
+  EXPECT_EQ(connectionLimit(100, 768), 1U);
+  m_Budget->m_Limit = 2;
+  std::vector<int> Open;
+  // Few enough that none has reached the time limit for a request yet.
+  Open.reserve(3);
+  for (int I = 0; I < 3; ++I)
+    Open.push_back(connect());
+  EXPECT_EQ(m_Server->openConnections(), 2U);
+  EXPECT_EQ(m_Budget->m_Open, 2U);
+  for (int Socket : Open)
+    close(Socket);
+  tick(10);
+  EXPECT_EQ(m_Budget->m_Open, 0U);
+}
+
+TEST_F(HttpServerOnLoopback, ClosesTheConnectionWhereTheResponseSaysSo) {
+  int Socket = connect();
+  m_Close = true;
+  std::string Response =
+      sendAndReceive(Socket, "GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+  EXPECT_NE(Response.find("Connection: close"), std::string::npos) << Response;
+  tick(10);
+  EXPECT_EQ(m_Server->openConnections(), 0U);
+  close(Socket);
+}
+
 TEST_F(HttpServerOnLoopback, EnforcesConnectionLimit) {
   std::vector<int> Open;
   Open.reserve(6);
