Fuzz the decoders and the frames, and soak with a foreign writer

- Frames with a valid checksum over changed content: cereal allocates what a size declares before it reads.
BoundedInputArchive refuses sizes beyond the rest of the input.
- Soak: two bursts of foreign reports and departures a seed, drawn apart so that the plans of earlier seeds stay.

--- a/packages/messages/codec.cpp
+++ b/packages/messages/codec.cpp
@@ -1,8 +1,8 @@
 #include "messages/codec.h"
 
 #include "messages/archive.h"
+#include "messages/bounded_archive.h"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cstring>
 #include <new>
 #include <sstream>
@@ -77,7 +77,7 @@
     return Encoded.reason();
   try {
     std::istringstream Stream(*std::move(Encoded));
-    cereal::PortableBinaryInputArchive Archive(Stream);
+    BoundedInputArchive Archive(Stream);
     T Value;
     Archive(Value);
     if (Stream.peek() != std::istringstream::traits_type::eof())
--- a/tests/messages/codec_test.cpp
+++ b/tests/messages/codec_test.cpp
@@ -1,7 +1,9 @@
 #include "messages/codec.h"
 
+#include <cstring>
 #include <gtest/gtest.h>
 #include <random>
+#include <xxhash.h>
 
 using namespace fireflydrift;
 using namespace fireflydrift::messages;
@@ -94,6 +96,44 @@
   EXPECT_GT(Tried, 5000);
 }
 
+// Gives the changed content of an encoded envelope a valid checksum again, so
+// that decoding gets beyond the header.
+static std::string resealed(std::string Bytes) {
+  constexpr std::size_t HeaderBytes = 9;
+  constexpr std::uint64_t EnvelopeType = 1;
+  std::uint64_t Checksum = XXH64(Bytes.data() + HeaderBytes,
+                                 Bytes.size() - HeaderBytes, EnvelopeType);
+  std::memcpy(Bytes.data() + 1, &Checksum, sizeof(Checksum));
+  return Bytes;
+}
+
+// A frame with a valid checksum from another writer, or from a VM with a fault
+// in its memory. A declared size must not make the decoder allocate it.
+TEST(Codec, SurvivesResealedFrames) {
+  constexpr std::size_t HeaderBytes = 9;
+  std::minstd_rand Random(23);
+  int Refused = 0;
+  int Read = 0;
+  for (const Envelope &Each : envelopes()) {
+    const std::string Bytes = encode(Each);
+    ASSERT_TRUE(decodeEnvelope(resealed(Bytes)));
+    for (int I = 0; I < 2000; ++I) {
+      std::string Changed = Bytes;
+      for (int Edits = 0; Edits < 1 + I % 3; ++Edits) {
+        std::size_t At =
+            HeaderBytes + Random() % (Changed.size() - HeaderBytes);
+        Changed[At] = static_cast<char>(I % 2 == 0 ? 0xff : Random());
+      }
+      if (I % 5 == 0)
+        Changed.resize(HeaderBytes + Random() % (Changed.size() - HeaderBytes));
+      bool Decoded = static_cast<bool>(decodeEnvelope(resealed(Changed)));
+      ++(Decoded ? Read : Refused);
+    }
+  }
+  EXPECT_GT(Refused, 1000);
+  EXPECT_GT(Read, 1000);
+}
+
 TEST(Codec, RejectsValueOfAnotherType) {
   EXPECT_FALSE(decodeTables(encode(membership::Heartbeat{})));
   EXPECT_FALSE(decodeHeartbeat(encode(envelopes()[0])));
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -144,19 +144,83 @@
             R"({"heartbeatAddress":"a:1"})");
 }
 
-// Corrupted bodies must be decoded or rejected, never crash a decoder.
+// ---- Fuzzing ---------------------------------------------------------------
+
+static const std::string JobBody =
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"gpu":2,)"
+    R"("memoryLimitMb":256,"estimatedMs":900,"gangScheduled":true,)"
+    R"("rackAffinity":true,"antiAffinity":2,"remoteFactor":3},)"
+    R"({"count":1,"dependencies":[0],"checkpointing":true,)"
+    R"("requirements":"a","dataRack":"r1-3","longRunning":false}]})";
+
+// Values that another writer may leave in place of any other.
+static const std::vector<std::string> OddValues{
+    "null",
+    "true",
+    "-1",
+    "0",
+    "1e400",
+    "1e300",
+    "-0.0",
+    "\"\"",
+    "[]",
+    "{}",
+    "[[]]",
+    "\"\\u0000\"",
+    "4294967296",
+    "18446744073709551615",
+    "18446744073709551616",
+    "\"999.1.1.1:99999\"",
+    "[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]"};
+
+// Replaces one value of the text, found by the colon before it.
+static void replaceValue(std::string &Text, std::minstd_rand &Random) {
+  auto Colon = Text.find(':', Random() % Text.size());
+  if (Colon == std::string::npos)
+    return;
+  auto End = Text.find_first_of(",}]", Colon);
+  Text.replace(Colon + 1, End == std::string::npos ? End : End - Colon - 1,
+               OddValues[Random() % OddValues.size()]);
+}
+
+static std::string mutated(std::string Text, int Round,
+                           std::minstd_rand &Random) {
+  for (int Edits = 0; Edits < 1 + Round % 3; ++Edits)
+    switch (Random() % 4) {
+    case 0:
+      Text[Random() % Text.size()] = static_cast<char>(Random() % 256);
+      break;
+    case 1:
+      Text.insert(Random() % Text.size(), Text, Random() % Text.size(),
+                  Random() % 40);
+      break;
+    case 2:
+      Text.resize(Text.size() - Random() % 3);
+      break;
+    default:
+      replaceValue(Text, Random);
+      break;
+    }
+  return Text;
+}
+
+// Corrupted bodies must be decoded or rejected, never crash a decoder, and what
+// is decoded must keep its bounds.
 TEST(PlatformCodec, HandlesCorruptedBodies) {
   std::minstd_rand Random(7);
-  constexpr int Rounds = 3000;
-  for (const std::string &Original : {ReportBody, Manifest})
+  constexpr int Rounds = 6000;
+  int Accepted = 0;
+  for (const std::string &Original : {ReportBody, Manifest, JobBody})
     for (int I = 0; I < Rounds; ++I) {
-      std::string Text = Original;
-      for (int Edits = 0; Edits < 1 + I % 3; ++Edits)
-        Text[Random() % Text.size()] = static_cast<char>(Random() % 256);
-      Text.resize(Text.size() - Random() % 3);
-      (void)decodeReport("i-1", Text);
-      (void)decodeManifest(Text);
-      (void)decodeJob(Text);
+      std::string Text = mutated(Original, I, Random);
+      if (auto Report = decodeReport("i-1", Text)) {
+        ++Accepted;
+        for (const roster::RunningTask &Each : Report->m_Running)
+          EXPECT_TRUE(Each.m_Percent >= 0 && Each.m_Percent <= 100) << Text;
+      }
+      Accepted += decodeManifest(Text) ? 1 : 0;
+      Accepted += decodeJob(Text) ? 1 : 0;
       (void)decodeLeaveIncarnation(Text);
     }
+  EXPECT_GT(Accepted, 1000);
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -3,6 +3,7 @@
 // against the system's guarantees. Prints one summary line and every violation.
 // Exits with 0 only if there is no violation.
 #include "soak/system.h"
+#include "standin/foreign_writer.h"
 #include "standin/manifest_operator.h"
 
 #include <csignal>
@@ -29,6 +30,8 @@
                   {.m_ControlAddresses = m_System.controlAddresses(),
                    .m_Count = TargetCount},
                   [](const std::string &) {}),
+        m_Foreign(EventLoop, {.m_ControlAddresses = m_System.controlAddresses(),
+                              .m_Targets = TargetCount}),
         m_Operator(EventLoop, m_Checker,
                    {.m_ControlAddresses = m_System.controlAddresses(),
                     .m_QueueHost = m_System.entries().front().m_Host,
@@ -49,6 +52,7 @@
     core::Time Now = m_Loop.now();
     bool HasQueuedData = m_System.tick(Now);
     m_Workers.tick(Now);
+    m_Foreign.tick(Now);
     m_Operator.tick(Now);
     switch (m_Stage) {
     case Stage::Configuring:
@@ -151,6 +155,8 @@
       return m_Workers.partitionUntil(Value.m_Victim, End);
     case FaultKind::TaskFailures:
       return m_Workers.failUntil(Value.m_Victim, End);
+    case FaultKind::ForeignReports:
+      return m_Foreign.writeUntil(End);
     case FaultKind::NewManifest:
       return m_Operator.sendNext(Now);
     case FaultKind::ConflictingManifests:
@@ -177,6 +183,9 @@
       m_Checker.recordViolation(
           "configuration", "a manifest was neither acknowledged nor refused",
           Now);
+    if (m_Foreign.wronglyAccepted() > 0)
+      m_Checker.recordViolation("foreign", "an invalid report was accepted",
+                                Now);
     m_System.stop();
     enter(Stage::Stopping, Now);
   }
@@ -192,6 +201,7 @@
   standin::HistoryChecker m_Checker;
   System m_System;
   standin::Workers m_Workers;
+  standin::ForeignWriter m_Foreign;
   standin::ManifestOperator m_Operator;
   standin::QueueCallers m_Callers;
   PlanOptions m_PlanOptions;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -17,7 +17,8 @@
   FaultScope m_Scope;
 };
 
-constexpr std::array<KindInfo, 23> Kinds{{
+// The last kind is drawn by itself, so that the plans of earlier seeds stay.
+constexpr std::array<KindInfo, 24> Kinds{{
     {FaultKind::Kill, "kill", FaultScope::Vms},
     {FaultKind::Wipe, "wipe", FaultScope::Replicas},
     {FaultKind::PowerLoss, "power-loss", FaultScope::Replicas},
@@ -41,6 +42,7 @@
     {FaultKind::InvalidManifest, "invalid", FaultScope::None},
     {FaultKind::AddKey, "add-key", FaultScope::None},
     {FaultKind::RevokeKey, "withdraw-key", FaultScope::None},
+    {FaultKind::ForeignReports, "foreign", FaultScope::None},
 }};
 
 } // namespace
@@ -59,6 +61,21 @@
   return 1;
 }
 
+static void addForeignBursts(std::vector<Fault> &Plan,
+                             const PlanOptions &Options) {
+  std::mt19937_64 Random(~Options.m_Seed);
+  auto Draw = [&](std::int64_t Min, std::int64_t Max) {
+    return core::Duration(
+        std::uniform_int_distribution<std::int64_t>(Min, Max)(Random));
+  };
+  constexpr std::int64_t ShortestMs = 500;
+  constexpr std::int64_t LongestMs = 8000;
+  for (int I = 0; I < Options.m_ForeignBursts; ++I)
+    Plan.push_back({.m_At = Draw(0, Options.m_Length.count()),
+                    .m_Kind = FaultKind::ForeignReports,
+                    .m_Duration = Draw(ShortestMs, LongestMs)});
+}
+
 std::vector<Fault> makePlan(const PlanOptions &Options) {
   std::mt19937_64 Random(Options.m_Seed);
   auto Draw = [&](std::int64_t Min, std::int64_t Max) {
@@ -70,7 +87,7 @@
   bool Wiped = false;
   for (int I = 0; I < Options.m_Faults; ++I) {
     const KindInfo &Kind = Kinds.at(static_cast<std::size_t>(
-        Draw(0, static_cast<std::int64_t>(Kinds.size()) - 1)));
+        Draw(0, static_cast<std::int64_t>(Kinds.size()) - 2)));
     Fault Each{.m_At = core::Duration(Draw(0, Options.m_Length.count())),
                .m_Kind = Kind.m_Kind,
                .m_Victim = static_cast<int>(
@@ -80,6 +97,7 @@
       Each.m_Kind = FaultKind::Kill;
     Plan.push_back(Each);
   }
+  addForeignBursts(Plan, Options);
   std::sort(Plan.begin(), Plan.end());
   return Plan;
 }
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -39,6 +39,8 @@
   InvalidManifest,
   AddKey,
   RevokeKey,
+  // Another writer beside the targets.
+  ForeignReports,
 };
 
 struct Fault {
@@ -57,6 +59,7 @@
   std::uint64_t m_Seed = 1;
   core::Duration m_Length{20000};
   int m_Faults = 24;
+  int m_ForeignBursts = 2;
   int m_Replicas = 3;
   // All VMs, of which the first m_Replicas are replicas.
   int m_Vms = 5;
--- a/tests/soak/system.cpp
+++ b/tests/soak/system.cpp
@@ -171,7 +171,8 @@
     bool Clean = WIFEXITED(Status) && WEXITSTATUS(Status) == 0;
     // A server does not start while its disk is faulty, so an exit is expected
     // then as well.
-    bool Expected = State.m_ExitExpected || State.m_Faults.m_Disk != "ok";
+    bool Expected = State.m_ExitExpected || State.m_PowerLossExpected ||
+                    State.m_Faults.m_Disk != "ok";
     if (!Expected || (m_Stopping && !Clean))
       m_Checker.recordViolation("keeps running",
                                 host(Vm) +
@@ -179,6 +180,7 @@
                                     std::to_string(Status),
                                 Now);
     State.m_ExitExpected = false;
+    State.m_PowerLossExpected = false;
     State.m_StartAt = std::max(State.m_StartAt, Now + RestartAfter);
   }
   if (!State.m_Vm->isRunning() && Now >= State.m_StartAt && !m_Stopping)
@@ -322,7 +324,7 @@
     State.m_Faults.m_Disk =
         Value.m_Kind == FaultKind::DiskFull ? "full" : "power";
   if (Value.m_Kind == FaultKind::PowerLoss) {
-    State.m_ExitExpected = State.m_Vm->isRunning();
+    State.m_PowerLossExpected = State.m_Vm->isRunning();
     State.m_StartAt = Now + Value.m_Duration;
   }
   State.m_Vm->setFaults(State.m_Faults);
@@ -338,9 +340,9 @@
                Restored.m_Faults.m_Disk = "ok";
              Restored.m_Vm->setFaults(Restored.m_Faults);
              // Without a sync since then the process has not lost power, and a
-             // later exit is not expected.
-             if (Kind == FaultKind::PowerLoss && Restored.m_Vm->isRunning())
-               Restored.m_ExitExpected = false;
+             // later exit has another cause.
+             if (Kind == FaultKind::PowerLoss)
+               Restored.m_PowerLossExpected = false;
              // Restarts the server, as an operator does after a full disk.
              if (Kind != FaultKind::DiskFull)
                return;
--- a/tests/soak/system.h
+++ b/tests/soak/system.h
@@ -62,6 +62,7 @@
     LocalFaults m_Faults;
     // The soak test killed the process or requested its shutdown.
     bool m_ExitExpected = false;
+    bool m_PowerLossExpected = false;
     core::Time m_StartAt;
   };
   struct ScheduledAction {
