Let the reports a second stay within what a leader can take

Each target reports twice at once to a new leader since it has to confirm an answer, and three times a second while it runs tasks. Ruled out: connection limits (none was reached). Test: Polling.ReportsGrowMoreSlowlyThanTheFleet.

--- a/packages/control/orders.cpp
+++ b/packages/control/orders.cpp
@@ -1,6 +1,8 @@
 // Computes the responses to the reports of polling targets.
 #include "control/runs.h"
 
+#include <algorithm>
+
 namespace fireflydrift::control {
 
 using workflow::TaskKey;
@@ -87,6 +89,24 @@
   return Before;
 }
 
+static core::Duration timeFor(std::size_t Reports, std::uint32_t PerSecond) {
+  constexpr std::size_t MsPerSecond = 1000;
+  return core::Duration(static_cast<core::Duration::rep>(
+      Reports * MsPerSecond / std::max(PerSecond, 1U)));
+}
+
+core::Duration reportInterval(const PollingOptions &Options,
+                              std::size_t Targets) {
+  return std::clamp(timeFor(Targets, Options.m_MaxReportsPerSecond),
+                    Options.m_ReportInterval, Options.m_MaxReportInterval);
+}
+
+core::Duration confirmationDelay(const PollingOptions &Options,
+                                 std::size_t Targets) {
+  return std::clamp(timeFor(Targets, Options.m_MaxConfirmationsPerSecond),
+                    core::Duration(1), Options.m_MaxReportInterval);
+}
+
 ReportResponse ordersFor(const PollingState &Current, const State &State,
                          const roster::Member &Target,
                          const PollingOptions &Options,
@@ -113,7 +133,12 @@
   Out.m_MaxDelay = HasUnacknowledgedEnds ? Options.m_MaxCommitHold
                    : Idle                ? Options.m_MaxIdleHold
                                          : core::Duration(0);
-  Orders.m_ReportAfter = Idle ? core::Duration(1) : Options.m_ReportInterval;
+  std::size_t Targets = Current.m_Roster.members().size();
+  if (!Target.m_Confirmed)
+    Orders.m_ReportAfter = confirmationDelay(Options, Targets);
+  else
+    Orders.m_ReportAfter =
+        Idle ? core::Duration(1) : reportInterval(Options, Targets);
   return Out;
 }
 
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -31,8 +31,18 @@
   // Longest time to hold a response until the run ends in the report are
   // durable.
   core::Duration m_MaxCommitHold{400};
-  // Report interval of a target that has running tasks or is draining.
+  // Report interval of a target that has running tasks or is draining, while the
+  // fleet is small.
   core::Duration m_ReportInterval{300};
+  // Longest report interval in a large fleet. Targets report the end of a run at
+  // once, so the interval delays only starts on targets that run other tasks.
+  core::Duration m_MaxReportInterval{1000};
+  // Reports a second from targets with running tasks above which the interval
+  // grows with the fleet, so that the leader's load does not.
+  std::uint32_t m_MaxReportsPerSecond = 3000;
+  // First answers a second after which targets are asked to report again. They
+  // all arrive at once when a leader takes over.
+  std::uint32_t m_MaxConfirmationsPerSecond = 5000;
   // Minimum interval between two assignment passes.
   core::Duration m_MinPassInterval{15};
   // Interval between assignment passes while nothing has changed.
@@ -149,6 +159,14 @@
                  const PollingOptions &Options, core::Time ReportedAt,
                  core::Time Now);
 
+// The report interval of targets with running tasks in a fleet of this size.
+[[nodiscard]] core::Duration reportInterval(const PollingOptions &Options,
+                                            std::size_t Targets);
+// The delay of the second report of an instance when this many targets have
+// reported to the leader so far.
+[[nodiscard]] core::Duration confirmationDelay(const PollingOptions &Options,
+                                               std::size_t Targets);
+
 [[nodiscard]] ReportResponse ordersFor(const PollingState &Current,
                                        const State &State,
                                        const roster::Member &Target,
--- a/tests/control/polling_test.cpp
+++ b/tests/control/polling_test.cpp
@@ -112,3 +112,16 @@
   EXPECT_TRUE(tick(std::move(Polling), Current, Options, true, Later)
                   .m_Commands.empty());
 }
+
+// With hundreds of targets their reports alone would take the leader's whole
+// processor, and all at once when it takes over.
+TEST(Polling, ReportsGrowMoreSlowlyThanTheFleet) {
+  const PollingOptions Options;
+  EXPECT_EQ(reportInterval(Options, 48), Options.m_ReportInterval);
+  EXPECT_EQ(reportInterval(Options, 540), Options.m_ReportInterval);
+  EXPECT_EQ(reportInterval(Options, 1500), core::Duration(500));
+  EXPECT_EQ(reportInterval(Options, 100000), Options.m_MaxReportInterval);
+  EXPECT_EQ(confirmationDelay(Options, 0), core::Duration(1));
+  EXPECT_EQ(confirmationDelay(Options, 500), core::Duration(100));
+  EXPECT_LE(confirmationDelay(Options, 100000), core::Duration(1000));
+}
