--- a/packages/runtime/counters.cpp
+++ b/packages/runtime/counters.cpp
@@ -76,6 +76,8 @@
       {"fireflydrift_missing_guarantees", "Guarantees that can't be satisfied"},
       {"fireflydrift_operations_total", "Operations decided as leader"},
       {"fireflydrift_placements_total", "Placement decisions by verdict"},
+      {"fireflydrift_reports_stale_total",
+       "Reports that came later than a newer one or from an ended instance"},
       {"fireflydrift_reports_total", "Reports of targets that fetch orders"},
       {"fireflydrift_requests_refused_total", "Requests refused by reason"},
       {"fireflydrift_retries_total", "Operations sent to a leader again"},
--- a/packages/runtime/polling_driver.cpp
+++ b/packages/runtime/polling_driver.cpp
@@ -56,12 +56,24 @@
                                {"target", Value.m_Target.text()}});
 }
 
+// Late reports are frequent: a line for each would crowd out the decisions.
+void PollingDriver::countStale(const roster::Report &Value, core::Time Now) {
+  m_Counters.add("fireflydrift_reports_stale_total");
+  constexpr core::Duration LogInterval{1000};
+  if (Now - m_StaleLoggedAt < LogInterval)
+    return;
+  m_StaleLoggedAt = Now;
+  logEvent(Event::ReportStale,
+           {{"target", Value.m_Target.text()},
+            {"sequence", std::to_string(Value.m_Sequence)},
+            {"stale_total", std::to_string(m_Counters.value(
+                                "fireflydrift_reports_stale_total"))}});
+}
+
 void PollingDriver::refuse(const roster::Report &Value,
                            roster::ReportVerdict Verdict, core::Time Now) {
   if (Verdict == roster::ReportVerdict::Outdated)
-    return logEvent(Event::ReportStale,
-                    {{"target", Value.m_Target.text()},
-                     {"sequence", std::to_string(Value.m_Sequence)}});
+    return countStale(Value, Now);
   bool Contested = Verdict == roster::ReportVerdict::Contested;
   m_Refusals = recordRefusal(
       m_Refusals, m_Counters,
--- a/packages/runtime/polling_driver.h
+++ b/packages/runtime/polling_driver.h
@@ -64,6 +64,7 @@
   void answerPending(const control::State &State, core::Time Now);
   void answerIfDue(const core::TargetId &Id, const control::State &State,
                    core::Time Now);
+  void countStale(const roster::Report &Value, core::Time Now);
   void refuse(const roster::Report &Value, roster::ReportVerdict Verdict,
               core::Time Now);
   void logOrders(const core::TargetId &Id, const roster::Orders &Orders);
@@ -79,6 +80,7 @@
   // Targets whose orders may have changed since they were last looked at.
   std::set<core::TargetId> m_Affected;
   RefusalLimiter m_Refusals;
+  core::Time m_StaleLoggedAt;
 };
 
 } // namespace fireflydrift::runtime
--- a/tests/runtime/polling_driver_test.cpp
+++ b/tests/runtime/polling_driver_test.cpp
@@ -75,6 +75,15 @@
   EXPECT_FALSE(*m_Answer);
 }
 
+TEST_F(PollingDriverTest, CountsStaleReportsAndGivesThemNoLease) {
+  roster::Report Late = nextReport();
+  report(nextReport());
+  report(Late);
+  ASSERT_TRUE(m_Answer && *m_Answer);
+  EXPECT_EQ((*m_Answer)->m_Lease, core::Duration(0));
+  EXPECT_EQ(m_Counters.value("fireflydrift_reports_stale_total"), 1U);
+}
+
 TEST_F(PollingDriverTest, CountsRefusedReportsAndGivesThemNoLease) {
   report(nextReport());
   roster::Report Foreign = nextReport();
