Stop no work for want of room before the fleet is known

Cause: a new leader hears the targets one by one. Change: for 1.5 s from its start a leader preempts nothing and spreads no gang over several racks; what fits is placed as before. Ruled out: targets cut off at that time (none); a burst (one urgent gang). Test: Polling.PreemptsNothingUntilTheFleetIsKnown fails without the rule.

--- a/packages/assignment/pass.cpp
+++ b/packages/assignment/pass.cpp
@@ -171,7 +171,8 @@
     Free += State.m_Targets[Index].m_Free.m_Accelerators;
     Total += State.m_Targets[Index].m_Total.m_Accelerators;
   }
-  return Pending.m_Waited >= State.m_Options.m_MultipleRacksAfter &&
+  return State.m_Options.m_FleetIsKnown &&
+         Pending.m_Waited >= State.m_Options.m_MultipleRacksAfter &&
          Free * 2 > Total;
 }
 
@@ -200,8 +201,9 @@
   Pending.m_Waiting.erase(Pending.m_Waiting.begin(),
                           Pending.m_Waiting.begin() +
                               static_cast<std::ptrdiff_t>(Chosen.size()));
-  bool MayPreempt =
-      Pending.policy().m_Priority == 0 && State.m_Options.m_AllowPreemption;
+  bool MayPreempt = Pending.policy().m_Priority == 0 &&
+                    State.m_Options.m_AllowPreemption &&
+                    State.m_Options.m_FleetIsKnown;
   bool IsCapacityWithheld =
       MayPreempt && (tryWithholdCapacity(State, Pending, Eligible) ||
                      preempt(State, Pending, Eligible));
--- a/packages/assignment/pass.h
+++ b/packages/assignment/pass.h
@@ -14,6 +14,10 @@
   Order m_Order = orderByUrgency;
   // Whether urgent work may preempt other work.
   bool m_AllowPreemption = true;
+  // False while the list of targets may be incomplete. Then nothing is done
+  // that only a lack of free capacity justifies: no work is preempted, and no
+  // gang is spread over several racks.
+  bool m_FleetIsKnown = true;
   // Maximum number of gangs that have a backfill reservation in one pass.
   std::size_t m_MaxReservations = 3;
   // Maximum number of steps decided in one pass; the rest wait for the next.
--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -11,6 +11,7 @@
 
 PollingState beginPolling(core::Time Now) {
   return {.m_Roster = roster::Roster(Now),
+          .m_LeaderSince = Now,
           .m_LastPassAt = Now,
           .m_LastLossCheckAt = Now,
           .m_LastForgottenAt = Now};
@@ -215,9 +216,11 @@
   impl::PassInput View = impl::makePassInput(Polling, Current, Options, Now);
   if (View.m_PendingSteps.empty())
     return;
-  assignment::PassResult Result =
-      assignment::runPass(std::move(View.m_Targets),
-                          std::move(View.m_PendingSteps), Options.m_Pass, Now);
+  assignment::PassOptions Pass = Options.m_Pass;
+  Pass.m_FleetIsKnown = Pass.m_FleetIsKnown && Now - Polling.m_LeaderSince >=
+                                                   Options.m_FleetKnownAfter;
+  assignment::PassResult Result = assignment::runPass(
+      std::move(View.m_Targets), std::move(View.m_PendingSteps), Pass, Now);
   for (assignment::Assignment &Each : Result.m_Assignments)
     Out.m_Commands.push_back(
         AssignTasks{.m_Workflow = std::move(Each.m_Workflow),
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -31,11 +31,12 @@
   // Longest time to hold a response until the run ends in the report are
   // durable.
   core::Duration m_MaxCommitHold{400};
-  // Report interval of a target that has running tasks or is draining, while the
-  // fleet is small.
+  // Report interval of a target that has running tasks or is draining, while
+  // the fleet is small.
   core::Duration m_ReportInterval{300};
-  // Longest report interval in a large fleet. Targets report the end of a run at
-  // once, so the interval delays only starts on targets that run other tasks.
+  // Longest report interval in a large fleet. Targets report the end of a run
+  // at once, so the interval delays only starts on targets that run other
+  // tasks.
   core::Duration m_MaxReportInterval{1000};
   // Reports a second from targets with running tasks above which the interval
   // grows with the fleet, so that the leader's load does not.
@@ -47,6 +48,9 @@
   core::Duration m_MinPassInterval{15};
   // Interval between assignment passes while nothing has changed.
   core::Duration m_MaxPassInterval{250};
+  // Time after the start of a leadership within which the targets have
+  // reported. Until then the leader takes its list of targets for incomplete.
+  core::Duration m_FleetKnownAfter{1500};
   core::Duration m_LossCheckInterval{100};
   // Interval between removals of targets that have been silent for too long.
   core::Duration m_ForgetInterval{5000};
@@ -92,6 +96,7 @@
   // Start and stop orders for runs that are missing from the reports.
   std::map<workflow::TaskKey, UnconfirmedOrder> m_UnconfirmedStarts;
   std::map<workflow::TaskKey, UnconfirmedOrder> m_UnconfirmedStops;
+  core::Time m_LeaderSince;
   bool m_PassNeeded = true;
   core::Time m_LastPassAt;
   core::Time m_LastLossCheckAt;
--- a/tests/control/polling_test.cpp
+++ b/tests/control/polling_test.cpp
@@ -125,3 +125,46 @@
   EXPECT_EQ(confirmationDelay(Options, 500), core::Duration(100));
   EXPECT_LE(confirmationDelay(Options, 100000), core::Duration(1000));
 }
+
+// A leader that has just taken over has heard from a few targets only. It must
+// not stop work there for want of capacity that others have.
+TEST(Polling, PreemptsNothingUntilTheFleetIsKnown) {
+  const core::TargetId Target("t");
+  const workflow::TargetInstance Instance{.m_Target = Target,
+                                          .m_Incarnation = 1};
+  constexpr core::Capacity Whole{8, 64000, 256000};
+  auto Spec = [&](const char *Id, std::uint32_t Priority) {
+    return workflow::WorkflowSpec{
+        .m_Id = core::RequestId(Id),
+        .m_Policy = {.m_Pool = "pool", .m_Priority = Priority},
+        .m_Steps = {{.m_Tasks = 1, .m_PerTask = {.m_Accelerators = 8}}}};
+  };
+  AssignTasks Running{
+      .m_Workflow = core::RequestId("long"),
+      .m_Assign = {.m_Run = 1, .m_Placements = {{.m_Instance = Instance}}}};
+  State Current =
+      apply({}, {.m_At = at(0),
+                 .m_Commands = {AcceptWorkflow{Spec("long", 1)},
+                                AcceptWorkflow{Spec("urgent", 0)}, Running}})
+          .m_State;
+  PollingOptions Options;
+  roster::Report Report{.m_Target = Target,
+                        .m_Incarnation = 1,
+                        .m_Pool = "pool",
+                        .m_Capacity = Whole};
+  PollingState Polling = beginPolling(at(0));
+  for (int I = 0; I < 2; ++I) {
+    ++Report.m_Sequence;
+    Polling = handleReport(std::move(Polling), Current, Report, Options, at(10))
+                  .m_Polling;
+    Polling = recordOrdersSent(std::move(Polling), Current, Target, {}, Options,
+                               at(10), at(10));
+  }
+  auto PreemptionsAt = [&](core::Time Now) {
+    return tick(PollingState(Polling), Current, Options, true, Now)
+        .m_Preemptions.size();
+  };
+  EXPECT_EQ(PreemptionsAt(at(300)), 0U);
+  EXPECT_EQ(PreemptionsAt(at(-1) + Options.m_FleetKnownAfter), 0U);
+  EXPECT_EQ(PreemptionsAt(at(0) + Options.m_FleetKnownAfter), 1U);
+}
