--- a/tests/runtime/polling_driver_test.cpp
+++ b/tests/runtime/polling_driver_test.cpp
@@ -34,10 +34,11 @@
   core::Time m_Now = core::timeFromMs(1000000);
   bool m_HoldsLease = true;
   Counters m_Counters;
-  PollingDriver m_Driver{m_Options,
-                         m_Counters,
-                         {.m_Propose = [](std::vector<control::Command>) {},
-                          .m_HoldsLease = [this] { return m_HoldsLease; }}};
+  PollingDriver m_Driver{
+      m_Options,
+      m_Counters,
+      {.m_Propose = [](const std::vector<control::Command> &) {},
+       .m_HoldsLease = [this] { return m_HoldsLease; }}};
   control::State m_State;
   std::uint64_t m_Sequence = 0;
   // The answer to the last report; empty while it is held, or without orders.
