Keep at most a quarter of the descriptors from connections

Cause, by reading: with a limit of 1,024 descriptors, a common default, the reserve of 768 left 256 connections to a VM that had taken up to 1,024 before. The reserve is a quarter of the descriptors, at most 768; at 4,096 nothing changes.

--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -158,14 +158,15 @@
 
 // Descriptors for the links to other VMs, two for each, for files and for
 // connections to targets.
-static constexpr std::size_t ReservedDescriptors = 768;
+static constexpr std::size_t MaxReservedDescriptors = 768;
 
 // The servers' share of the descriptors that the process may open.
 static std::shared_ptr<ConnectionBudget> makeConnectionBudget() {
   rlimit Descriptors{};
   getrlimit(RLIMIT_NOFILE, &Descriptors);
-  return std::make_shared<ConnectionBudget>(ConnectionBudget{
-      .m_Limit = connectionLimit(Descriptors.rlim_cur, ReservedDescriptors)});
+  return std::make_shared<ConnectionBudget>(
+      ConnectionBudget{.m_Limit = connectionLimit(Descriptors.rlim_cur,
+                                                  MaxReservedDescriptors)});
 }
 
 static int runServer(const Settings &Values, Tokens InitialTokens,
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -3,6 +3,7 @@
 #include "runtime/address.h"
 #include "runtime/sockets.h"
 
+#include <algorithm>
 #include <openssl/ssl.h>
 #include <sstream>
 #include <utility>
@@ -193,8 +194,10 @@
 // ---- Connections -----------------------------------------------------------
 
 std::size_t connectionLimit(std::size_t Descriptors,
-                            std::size_t Reserved) noexcept {
-  return Descriptors > Reserved ? Descriptors - Reserved : 1;
+                            std::size_t MaxReserved) noexcept {
+  constexpr std::size_t Quarter = 4;
+  std::size_t Reserved = std::min(Descriptors / Quarter, MaxReserved);
+  return std::max<std::size_t>(Descriptors - Reserved, 1);
 }
 
 bool HttpServer::Impl::mayAccept() const {
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -60,10 +60,11 @@
                          const ConnectionBudget &) = default;
 };
 
-// The connections for which the process has descriptors, when it needs Reserved
-// others. At least one.
+// The connections for which a process with this many descriptors has room. It
+// keeps a quarter of them for other uses, but no more than MaxReserved. At
+// least one.
 [[nodiscard]] std::size_t connectionLimit(std::size_t Descriptors,
-                                          std::size_t Reserved) noexcept;
+                                          std::size_t MaxReserved) noexcept;
 
 struct HttpServerOptions {
   std::string m_Host;
