--- a/packages/control/dispatcher.cpp
+++ b/packages/control/dispatcher.cpp
@@ -172,7 +172,8 @@
       const target::Target *Target = findTarget(Current, Id);
       bool Lost = !Target || Target->presence() == target::Presence::Lost;
       if (Calls.m_Verb == Verb::Stop && Lost)
-        Progress.m_Done = hasLostItsLease(Progress, Options, Now);
+        Progress.m_Done =
+            Progress.m_Done || hasLostItsLease(Progress, Options, Now);
       bool Due = !Progress.m_Done && !Progress.m_InFlight && !Lost &&
                  !Calls.m_EndProposed && Progress.m_NextAt <= Now &&
                  Before.m_InFlight < Options.m_MaxInFlight;
--- a/tests/control/dispatcher_test.cpp
+++ b/tests/control/dispatcher_test.cpp
@@ -167,6 +167,24 @@
   EXPECT_TRUE(std::holds_alternative<ConfirmStopped>(Next.m_Commands[0]));
 }
 
+// The loss of a target that had confirmed its stop made the dispatcher wait for
+// the end of its lease as well.
+TEST(Dispatcher, AConfirmedStopStaysConfirmedWhenItsTargetIsLost) {
+  State State = after(after(placed(true), StartJob{Key, 1}), CancelJob{Key});
+  DispatchStep Next =
+      sendDueCalls(updateJob({}, State, Key, Now), State, {}, Now);
+  std::vector<Call> Calls = Next.m_Calls;
+  ASSERT_EQ(Calls.size(), 2U);
+  Next = handleReply(std::move(Next.m_Dispatcher), State,
+                     reply(Calls[0], CallOutcome::Accepted), {}, Now);
+  State = after(std::move(State), MarkTargetLost{Calls[0].m_Target});
+  Next = sendDueCalls(std::move(Next.m_Dispatcher), State, {}, Now);
+  Next = handleReply(std::move(Next.m_Dispatcher), State,
+                     reply(Calls[1], CallOutcome::Accepted), {}, Now);
+  ASSERT_EQ(Next.m_Commands.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<ConfirmStopped>(Next.m_Commands[0]));
+}
+
 TEST(Dispatcher, RepliesToAnotherAttemptAreIgnored) {
   State State = placed(true);
   DispatchStep Next =
