--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -6,6 +6,7 @@
 #define REVIEW_STANDINS_PLATFORM_H
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -16,6 +17,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
@@ -345,6 +347,7 @@
     std::vector<std::string> m_Controls;
     int m_ControlPort = 0;
     std::string m_Service = "svc";
+    // The work of a subtask of the job; a spec that is a number states it.
     long m_RunMs = 1000;
     int m_Gpus = 8;
   };
@@ -357,11 +360,21 @@
   }
   Worker(const Worker &) = delete;
   Worker &operator=(const Worker &) = delete;
+  // The host that the newest answer named for the next report; empty for none.
+  std::string told() {
+    std::lock_guard Lock(m_ToldMutex);
+    return m_Told;
+  }
 
 private:
+  void setTold(std::string Host) {
+    std::lock_guard Lock(m_ToldMutex);
+    m_Told = std::move(Host);
+  }
   struct Run {
     int m_Number = 0;
     long m_Since = 0;
+    long m_WorkMs = 0;
   };
 
   void end(const std::string &Task, int Number, const std::string &How) {
@@ -375,7 +388,7 @@
     for (const auto &[Task, Value] : m_Runs) {
       if (nowMs() >= m_LeaseUntil)
         Ends.emplace_back(Task, "lapsed");
-      else if (nowMs() - Value.m_Since >= m_Options.m_RunMs)
+      else if (nowMs() - Value.m_Since >= Value.m_WorkMs)
         Ends.emplace_back(Task, "done");
     }
     for (const auto &[Task, How] : Ends) {
@@ -390,7 +403,7 @@
     for (const auto &[Task, Value] : m_Runs)
       Running.push_back(
           {Task, Value.m_Number, "",
-           std::min(99L, (nowMs() - Value.m_Since) * 100 / m_Options.m_RunMs),
+           std::min(99L, (nowMs() - Value.m_Since) * 100 / Value.m_WorkMs),
            0});
     Json Body{{"service", m_Options.m_Service},
               {"address", m_Options.m_Host + ":8080"},
@@ -413,21 +426,21 @@
     std::string Host =
         m_Options.m_Controls[m_Control % m_Options.m_Controls.size()];
     Answer Got = call({.m_Method = "PUT",
-                       .m_Host = m_Told.empty() ? Host : m_Told,
+                       .m_Host = told().empty() ? Host : told(),
                        .m_Port = m_Options.m_ControlPort,
                        .m_Path = "/-/instances/" + m_Options.m_Id,
                        .m_Body = Body.dump(),
                        .m_From = m_Options.m_Host,
                        .m_TimeoutMs = 1000});
     if (Got.m_Status / 100 != 2) {
-      m_Told.clear();
+      setTold({});
       ++m_Control;
       m_NextAt = nowMs() + 100;
       return;
     }
     Json Orders = Json::parse(Got.m_Body, nullptr, false);
     std::string Told = Orders.value("heartbeatAddress", "");
-    m_Told = Told.substr(0, Told.find(':'));
+    setTold(Told.substr(0, Told.find(':')));
     m_NextAt = nowMs() + Orders.value("retryAfterMs", 1500L);
     auto Through = Orders.value("ackedThrough", std::uint64_t{0});
     Json Left = Json::array();
@@ -461,7 +474,8 @@
         end(Task, Number, "refused");
         continue;
       }
-      m_Runs[Task] = {Number, nowMs()};
+      long Stated = std::atol(Each[2].get<std::string>().c_str());
+      m_Runs[Task] = {Number, nowMs(), Stated > 0 ? Stated : m_Options.m_RunMs};
       m_Log.line(m_Options.m_Id + " starts " + Task + " run " +
                  std::to_string(Number));
     }
@@ -486,6 +500,7 @@
   std::uint64_t m_Fence = 0;
   std::uint64_t m_Sequence = 0;
   std::size_t m_Control = 0;
+  std::mutex m_ToldMutex;
   std::string m_Told;
   long m_NextAt = 0;
   long m_LeaseUntil = 0;
@@ -598,7 +613,7 @@
 }
 
 inline std::string job(int Tasks, long EstimatedMs) {
-  return Json{{"spec", "text"},
+  return Json{{"spec", std::to_string(EstimatedMs)},
               {"steps",
                {{{"count", Tasks},
                  {"cpu", 500},
