--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -119,7 +119,7 @@
     sockaddr_in From = address(Value.m_From, 0);
     (void)bind(Socket, reinterpret_cast<sockaddr *>(&From), sizeof(From));
   }
-  sockaddr_in To = address(Value.m_Host, Value.m_Port);
+  sockaddr_in To = review::address(Value.m_Host, Value.m_Port);
   int Result = connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To));
   if (Result < 0 && errno != EINPROGRESS)
     return Done();
@@ -253,6 +253,25 @@
     return m_Work + "/data-" + Host;
   }
 
+  int linkPort() const { return m_BasePort; }
+  std::string address(int Group, int Index) const {
+    return m_Net + std::to_string(Group) + "." + std::to_string(Index);
+  }
+  // Starts a replica with these settings.
+  void startWith(const std::string &Host, const std::string &Text) {
+    std::string Settings = m_Work + "/" + Host + ".ini";
+    std::ofstream(Settings) << Text;
+    fs::create_directories(dataFolder(Host));
+    launch(Host, Settings);
+    m_Log.line("start " + Host + " replica");
+  }
+  std::string logOf(const std::string &Host) const {
+    std::ifstream Stream(m_Work + "/" + Host + ".log");
+    std::stringstream Text;
+    Text << Stream.rdbuf();
+    return Text.str();
+  }
+
   // Starts the process of the machine; FirstStart as `bootstrap` of DEPLOY.md.
   void start(const std::string &Host, bool IsReplica, bool FirstStart) {
     std::string Seeds;
@@ -283,17 +302,7 @@
         IsReplica ? "deploy/replica.ini" : "deploy/entry.ini", Map);
     if (IsReplica)
       fs::create_directories(dataFolder(Host));
-    pid_t Pid = fork();
-    if (Pid == 0) {
-      int Out = open((m_Work + "/" + Host + ".log").c_str(),
-                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-      dup2(Out, 1);
-      dup2(Out, 2);
-      execl("target/fireflydriftd", "target/fireflydriftd", "--settings",
-            Settings.c_str(), nullptr);
-      _exit(127);
-    }
-    m_Pids[Host] = Pid;
+    launch(Host, Settings);
     m_Log.line("start " + Host + (IsReplica ? " replica" : " entry") +
                (FirstStart ? " first_start" : ""));
   }
@@ -328,6 +337,20 @@
   }
 
 private:
+  void launch(const std::string &Host, const std::string &Settings) {
+    pid_t Pid = fork();
+    if (Pid == 0) {
+      int Out = open((m_Work + "/" + Host + ".log").c_str(),
+                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+      dup2(Out, 1);
+      dup2(Out, 2);
+      execl("target/fireflydriftd", "target/fireflydriftd", "--settings",
+            Settings.c_str(), nullptr);
+      _exit(127);
+    }
+    m_Pids[Host] = Pid;
+  }
+
   std::string m_Work;
   Record &m_Log;
   std::string m_Net;
