--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -383,6 +383,8 @@
   }
   Worker(const Worker &) = delete;
   Worker &operator=(const Worker &) = delete;
+  long born() const { return m_Born; }
+  std::size_t running() const { return m_RunCount; }
   // The host that the newest answer named for the next report; empty for none.
   std::string told() {
     std::lock_guard Lock(m_ToldMutex);
@@ -506,6 +508,7 @@
   void loop() {
     while (!m_Stop) {
       advance();
+      m_RunCount = m_Runs.size();
       if (nowMs() >= m_NextAt)
         report();
       sleepMs(10);
@@ -519,6 +522,7 @@
   std::map<std::string, Run> m_Runs;
   std::map<std::string, int> m_Closed;
   Json m_Ended = Json::array();
+  std::atomic<std::size_t> m_RunCount{0};
   std::uint64_t m_LastEnd = 0;
   std::uint64_t m_Fence = 0;
   std::uint64_t m_Sequence = 0;
