--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -1,6 +1,6 @@
 // A replica is replaced as planned; a few seconds later another one loses its
-// disk. Exit 0 when what was acknowledged is still answered, 1 when it is not, 2
-// when the case could not run.
+// disk. Exit 0 when what was acknowledged is still answered, 1 when it is not,
+// 2 when the case could not run.
 #include "../standins/platform.h"
 
 #include <algorithm>
@@ -42,10 +42,11 @@
   sleepMs(CatchUpMs + 2000);
   All.stop(All.replica(1));
   // The workers hear of the next leader.
-  for (long Until = nowMs() + 2000; Workers.front()->told() == All.replica(1) &&
-                                    nowMs() < Until;)
+  for (long Until = nowMs() + 2000;
+       Workers.front()->told() == All.replica(1) && nowMs() < Until;)
     sleepMs(20);
-  if (!submit({Entry}, All.frontendPort(), jobId(2), job(2, 1000), 10000, Log) ||
+  if (!submit({Entry}, All.frontendPort(), jobId(2), job(2, 1000), 10000,
+              Log) ||
       !putManifest(New, All.controlPort(), manifest(2), 10000, Log))
     return 2;
 
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -25,6 +25,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -55,12 +56,12 @@
 // Writes record.txt: what was sent, answered and run.
 class Record {
 public:
-  explicit Record(const std::string &Path)
-      : m_File(Path), m_Start(nowMs()) {}
+  explicit Record(const std::string &Path) : m_File(Path), m_Start(nowMs()) {}
   void line(const std::string &Text) {
     std::lock_guard Lock(m_Mutex);
     char Time[32];
-    std::snprintf(Time, sizeof(Time), "%8.3f ", double(nowMs() - m_Start) / 1000);
+    std::snprintf(Time, sizeof(Time), "%8.3f ",
+                  double(nowMs() - m_Start) / 1000);
     m_File << Time << Text << std::endl;
   }
 
@@ -138,8 +139,8 @@
     Text += "X-Fireflydrift-Key: " + Value.m_Key + "\r\n";
   Text += "\r\n" + Value.m_Body;
   for (std::size_t Sent = 0; Sent < Text.size();) {
-    ssize_t Count = send(Socket, Text.data() + Sent, Text.size() - Sent,
-                         MSG_NOSIGNAL);
+    ssize_t Count =
+        send(Socket, Text.data() + Sent, Text.size() - Sent, MSG_NOSIGNAL);
     if (Count > 0)
       Sent += static_cast<std::size_t>(Count);
     else if (errno != EAGAIN || !waitFor(Socket, POLLOUT, Until))
@@ -221,7 +222,8 @@
 // on all of them.
 class Machines {
 public:
-  Machines(std::string Work, Record &Log) : m_Work(std::move(Work)), m_Log(Log) {
+  Machines(std::string Work, Record &Log)
+      : m_Work(std::move(Work)), m_Log(Log) {
     // An own /16 of 127.0.0.0/8 for each script, and ports that are free there.
     m_Net = "127." + std::to_string(20 + getpid() % 200) + ".";
     m_BasePort = 20000 + (getpid() * 7) % 9000;
@@ -276,8 +278,8 @@
   void start(const std::string &Host, bool IsReplica, bool FirstStart) {
     std::string Seeds;
     for (int I = 1; I <= 3; ++I)
-      Seeds += (I > 1 ? "," : "") + replica(I) + ":" +
-               std::to_string(controlPort());
+      Seeds +=
+          (I > 1 ? "," : "") + replica(I) + ":" + std::to_string(controlPort());
     std::string Zone = "zone-" + Host.substr(Host.rfind('.') + 1);
     std::map<std::string, std::string> Map{
         {"ip", Host},
@@ -340,6 +342,8 @@
   void launch(const std::string &Host, const std::string &Settings) {
     pid_t Pid = fork();
     if (Pid == 0) {
+      // Ends with this program, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       int Out = open((m_Work + "/" + Host + ".log").c_str(),
                      O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(Out, 1);
@@ -428,8 +432,7 @@
     for (const auto &[Task, Value] : m_Runs)
       Running.push_back(
           {Task, Value.m_Number, "",
-           std::min(99L, (nowMs() - Value.m_Since) * 100 / Value.m_WorkMs),
-           0});
+           std::min(99L, (nowMs() - Value.m_Since) * 100 / Value.m_WorkMs), 0});
     Json Body{{"service", m_Options.m_Service},
               {"address", m_Options.m_Host + ":8080"},
               {"zone", "zone-1"},
@@ -541,38 +544,37 @@
 inline constexpr const char *Key = "key-of-the-tenant";
 
 inline Json manifest(int Version) {
-  return {
-      {"version", Version},
-      {"routes",
-       {{{"name", "r-1"},
-         {"host", QueueHost},
-         {"pathPrefix", Prefix},
-         {"kind", "non_idempotent"},
-         {"timeoutMs", 3000},
-         {"targetLatencyMs", 2000},
-         {"priority", 1},
-         {"service", "svc"},
-         {"maxAttempts", 3},
-         {"slackFactor", 3.0},
-         {"public", false}}}},
-      {"services",
-       {{{"name", "svc"},
-         {"healthPath", "/health"},
-         {"maxConnections", 64},
-         {"protocol", "h1"},
-         {"tls", false},
-         {"rejectsOverload", true},
-         {"standby", false}}}},
-      {"limits",
-       {{"maxHeaderBytes", 16384},
-        {"maxBodyBytes", 262144},
-        {"headerTimeoutMs", 3000},
-        {"idleTimeoutMs", 15000}}},
-      {"tenants",
-       {{{"name", "tenant"},
-         {"apiKeys", {Key}},
-         {"priority", 1},
-         {"guaranteedGpus", {{"gpu", 8}}}}}}};
+  return {{"version", Version},
+          {"routes",
+           {{{"name", "r-1"},
+             {"host", QueueHost},
+             {"pathPrefix", Prefix},
+             {"kind", "non_idempotent"},
+             {"timeoutMs", 3000},
+             {"targetLatencyMs", 2000},
+             {"priority", 1},
+             {"service", "svc"},
+             {"maxAttempts", 3},
+             {"slackFactor", 3.0},
+             {"public", false}}}},
+          {"services",
+           {{{"name", "svc"},
+             {"healthPath", "/health"},
+             {"maxConnections", 64},
+             {"protocol", "h1"},
+             {"tls", false},
+             {"rejectsOverload", true},
+             {"standby", false}}}},
+          {"limits",
+           {{"maxHeaderBytes", 16384},
+            {"maxBodyBytes", 262144},
+            {"headerTimeoutMs", 3000},
+            {"idleTimeoutMs", 15000}}},
+          {"tenants",
+           {{{"name", "tenant"},
+             {"apiKeys", {Key}},
+             {"priority", 1},
+             {"guaranteedGpus", {{"gpu", 8}}}}}}};
 }
 
 // Sends a manifest until it is acknowledged, to one node after the other.
--- a/review/standins/relay.h
+++ b/review/standins/relay.h
@@ -19,11 +19,11 @@
     int Enable = 1;
     setsockopt(m_Listener, SOL_SOCKET, SO_REUSEADDR, &Enable, sizeof(Enable));
     m_Datagrams = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    m_Opened = bind(m_Listener, reinterpret_cast<sockaddr *>(&Own),
-                    sizeof(Own)) == 0 &&
-               listen(m_Listener, 64) == 0 &&
-               bind(m_Datagrams, reinterpret_cast<sockaddr *>(&Own),
-                    sizeof(Own)) == 0;
+    m_Opened =
+        bind(m_Listener, reinterpret_cast<sockaddr *>(&Own), sizeof(Own)) ==
+            0 &&
+        listen(m_Listener, 64) == 0 &&
+        bind(m_Datagrams, reinterpret_cast<sockaddr *>(&Own), sizeof(Own)) == 0;
     m_Threads.emplace_back([this] { acceptLoop(); });
     m_Threads.emplace_back([this] { datagramLoop(); });
   }
@@ -70,8 +70,9 @@
       if (poll(&Poll, 1, 2) > 0) {
         ssize_t Count = recv(m_Datagrams, Buffer, sizeof(Buffer), 0);
         if (Count > 0 && !m_Cut)
-          Queue.push_back({nowMs() + m_DelayMs,
-                           std::string(Buffer, static_cast<std::size_t>(Count))});
+          Queue.push_back(
+              {nowMs() + m_DelayMs,
+               std::string(Buffer, static_cast<std::size_t>(Count))});
       }
       while (!Queue.empty() && Queue.front().m_At <= nowMs()) {
         if (!m_Cut)
@@ -88,8 +89,8 @@
     sockaddr_in To = address(m_To, m_Port);
     while (m_Cut && !m_Stop)
       sleepMs(5);
-    bool Open = connect(Server, reinterpret_cast<sockaddr *>(&To),
-                        sizeof(To)) == 0;
+    bool Open =
+        connect(Server, reinterpret_cast<sockaddr *>(&To), sizeof(To)) == 0;
     int Enable = 1;
     for (int Each : {Client, Server}) {
       setsockopt(Each, IPPROTO_TCP, TCP_NODELAY, &Enable, sizeof(Enable));
@@ -119,8 +120,8 @@
           else if (Count == 0 || errno != EAGAIN)
             Open = false;
         }
-        while (Open && !Queues[I].empty() && Queues[I].front().m_At <= nowMs() &&
-               !m_Cut) {
+        while (Open && !Queues[I].empty() &&
+               Queues[I].front().m_At <= nowMs() && !m_Cut) {
           std::string &Bytes = Queues[I].front().m_Bytes;
           ssize_t Count =
               send(Sockets[1 - I], Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
