--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -1,7 +1,7 @@
 // An entry VM's process is killed while it holds calls, and started again. Exit
 // 0 when every job that was accepted is known, 1 when an accepted job is
 // unknown, 2 when the case could not run.
-#include "../standins/platform.h"
+#include "platform.h"
 
 using namespace review;
 
--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -1,7 +1,7 @@
 // A replica is replaced as planned; a few seconds later another one loses its
 // disk. Exit 0 when what was acknowledged is still answered, 1 when it is not,
 // 2 when the case could not run.
-#include "../standins/platform.h"
+#include "../1/platform.h"
 
 #include <algorithm>
 
