Number the operations of each process of an entry VM on their own

The leader addresses a reply to a VM and an operation's id on it. Each process counted from 1, so the reply to a call of a killed process ended the call of the same number of its successor, often before that was sent to a leader.

The ids now count from a number that each process draws. The wire stays as it is. Ruled out: loss on the leader, a call that was sent twice. NotLeader carries the same id and is covered; messages between replicas carry term and incarnation.

Evidence: Node.ReplyToACallOfAnEarlierProcessAnswersNoCallOfItsSuccessor fails on the old code (the successor's caller gets Acknowledged instead of its own reply).

--- a/packages/messages/codec.h
+++ b/packages/messages/codec.h
@@ -22,7 +22,8 @@
 
 // An entry VM forwards an operation to the leader.
 struct ForwardOperation {
-  // Chosen by the entry VM; OperationReply and NotLeader repeat it.
+  // Chosen by the entry VM, and unique over its processes; OperationReply and
+  // NotLeader repeat it.
   std::uint64_t m_Id = 0;
   control::Operation m_Operation;
   friend bool operator==(const ForwardOperation &,
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -5,7 +5,8 @@
 namespace fireflydrift::runtime {
 
 Entry::Entry(EntryOptions Options, Counters &Metrics, Send SendCallback)
-    : m_Options(Options), m_Counters(Metrics), m_Send(std::move(SendCallback)) {
+    : m_Options(Options), m_Counters(Metrics), m_Send(std::move(SendCallback)),
+      m_NextId(Options.m_FirstOperation) {
   m_Forwarding.m_Budget = routing::fullBudget(m_Options.m_Retry);
 }
 
@@ -45,7 +46,7 @@
 void Entry::submit(control::Operation Value, const core::WorkspaceId &Workspace,
                    ReplyCallback Callback, core::Time Now,
                    std::optional<core::Duration> Timeout) {
-  std::uint64_t Id = ++m_NextId;
+  std::uint64_t Id = m_NextId++;
   core::Time Deadline = Now + Timeout.value_or(m_Options.m_OperationTimeout) +
                         requestedWait(Value);
   m_Admission = routing::admitted(std::move(m_Admission), Workspace);
--- a/packages/runtime/entry.h
+++ b/packages/runtime/entry.h
@@ -22,6 +22,11 @@
   core::Duration m_OperationTimeout{10000};
   // Lease duration in the reply to a target's report while a leader is known.
   core::Duration m_TargetLease{15000};
+  // The ids of operations count up from here. It must differ in each process of
+  // a VM: the leader addresses replies to the VM, so a reply to an operation of
+  // an earlier process may still arrive and must match no operation of this
+  // one.
+  std::uint64_t m_FirstOperation = 1;
 
   friend bool operator==(const EntryOptions &, const EntryOptions &) = default;
 };
@@ -98,7 +103,7 @@
   routing::Forwarding m_Forwarding;
   routing::EntryHeartbeats m_Heartbeats;
   std::map<std::uint64_t, PendingRequest> m_Pending;
-  std::uint64_t m_NextId = 0;
+  std::uint64_t m_NextId;
   core::VmId m_SummaryLeader;
   bool m_FullSummary = true;
   std::set<core::TargetId> m_Announced;
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -21,12 +21,19 @@
 // a replica.
 static constexpr core::Duration RemoveVmAfter{30000};
 
+// A number that no earlier process of this VM has drawn.
+static std::uint64_t drawUniqueNumber() {
+  std::random_device Random;
+  return static_cast<std::uint64_t>(Random()) << 32U | Random();
+}
+
 static EntryOptions entryOptions(const Settings &Values) {
   return {.m_Admission = Values.m_Admission,
           .m_Retry = {.m_Seed = Values.m_Replica.m_Seed},
           .m_Heartbeats = Values.m_Leader.m_Heartbeats,
           .m_OperationTimeout = Values.m_OperationDeadline,
-          .m_TargetLease = Values.m_Leader.m_Dispatch.m_Lease};
+          .m_TargetLease = Values.m_Leader.m_Dispatch.m_Lease,
+          .m_FirstOperation = drawUniqueNumber()};
 }
 
 static LinkOptions linkOptions(const Settings &Values) {
@@ -76,9 +83,6 @@
       std::any_of(Values.m_Seeds.begin(), Values.m_Seeds.end(), IsSelf);
   if (UsesDiscovery && !IsSeed)
     Replicas.erase(Values.m_Self.m_Id);
-  std::random_device Random;
-  std::uint64_t Incarnation =
-      (static_cast<std::uint64_t>(Random()) << 32U | Random()) | 1U;
   return {.m_DataFolder = Values.m_DataFolder,
           .m_SnapshotIntervalEntries = Values.m_SnapshotIntervalEntries,
           .m_Identity = {.m_Self = Values.m_Self.m_Id,
@@ -89,7 +93,8 @@
                                     .m_AllowAnyVm = UsesDiscovery,
                                     .m_Voters = votersFor(Values)}},
           .m_Replica = Values.m_Replica,
-          .m_NewIncarnation = Incarnation};
+          // Zero stands for a data folder without an incarnation.
+          .m_NewIncarnation = drawUniqueNumber() | 1U};
 }
 
 core::Outcome<bool> Node::start() {
