Let a replica take part again once its full disk has room

After a disk error the replica now tries every 250 ms whether the disk takes data, then cuts off what followed the last good sync and stores state and log in new files. Nothing beyond that sync had been promised. Entries that were committed meanwhile are applied then; they were dropped. A replica whose disk fails names no leader to others and ends its leadership. New event FD4013.

A failed sync may have lost pages that a later sync reports as written, so the old segment is not written again.

--- a/packages/runtime/events.cpp
+++ b/packages/runtime/events.cpp
@@ -68,6 +68,7 @@
       {Event::VmLiveness, Severity::Warning, "vm_liveness"},
       {Event::MessageRefused, Severity::Warning, "message_refused"},
       {Event::ReplicasChanged, Severity::Info, "replicas_changed"},
+      {Event::DiskRecovered, Severity::Info, "disk_recovered"},
   };
   return Events;
 }
--- a/packages/runtime/events.h
+++ b/packages/runtime/events.h
@@ -58,6 +58,7 @@
   VmLiveness = 4010,
   MessageRefused = 4011,
   ReplicasChanged = 4012,
+  DiskRecovered = 4013,
 };
 
 enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
--- a/packages/runtime/journal.cpp
+++ b/packages/runtime/journal.cpp
@@ -18,6 +18,7 @@
 static constexpr std::size_t LengthBytes = sizeof(std::uint32_t);
 static constexpr const char *SegmentPrefix = "journal-";
 static constexpr const char *SnapshotPrefix = "snapshot-";
+static constexpr const char *ProbeFile = "probe";
 
 struct Journal::Impl {
   fs::path m_Folder;
@@ -25,6 +26,8 @@
   std::uint64_t m_SegmentNumber = 0;
   std::uint64_t m_BytesWritten = 0;
   std::uint64_t m_Syncs = 0;
+  // Length of the current segment up to its last synced record, in bytes.
+  std::uint64_t m_SyncedBytes = 0;
   // Records to be written by the next sync, in a single write: of several
   // writes before a sync, a power loss may keep a later one and lose an earlier
   // one.
@@ -90,8 +93,11 @@
   bool Written = writeAll(File, Bytes) && fsync(File) == 0;
   core::Reason Error = ioReason(Path, "write");
   close(File);
-  if (!Written)
+  if (!Written) {
+    // What was written of it would take room on a full disk.
+    unlink(Temporary.c_str());
     return Error;
+  }
   if (rename(Temporary.c_str(), Path.c_str()) != 0 ||
       !syncFolder(Path.parent_path()))
     return ioReason(Path, "rename");
@@ -284,6 +290,7 @@
                fsync(Opened->m_File) == 0 && syncFolder(Folder);
   if (!Ready)
     return ioReason(Path, "open");
+  Opened->m_SyncedBytes = ValidBytes;
   return std::pair(Journal(std::move(Opened)), std::move(Content));
 }
 
@@ -318,6 +325,25 @@
     return ioReason(m_Impl->m_Folder, "sync");
   }
   ++m_Impl->m_Syncs;
+  m_Impl->m_SyncedBytes += Bytes.size();
+  return true;
+}
+
+core::Outcome<bool> Journal::checkWritable() {
+  auto Written =
+      writeFileAtomically(m_Impl->m_Folder / ProbeFile, std::string(1, '\0'));
+  std::error_code Ignored;
+  fs::remove(m_Impl->m_Folder / ProbeFile, Ignored);
+  return Written;
+}
+
+// Cuts off what was written to the current segment after its last sync: later
+// segments follow it, and only the last one may end in a torn record.
+core::Outcome<bool> Journal::discardUnsynced() {
+  m_Impl->m_Pending.clear();
+  auto Length = static_cast<off_t>(m_Impl->m_SyncedBytes);
+  if (ftruncate(m_Impl->m_File, Length) != 0 || fsync(m_Impl->m_File) != 0)
+    return ioReason(m_Impl->m_Folder, "truncate");
   return true;
 }
 
@@ -326,10 +352,11 @@
                        const replica::HardState &HardState,
                        const std::vector<replica::Entry> &Tail) {
   // Pending records must first be durable in the current segment: after a power
-  // loss recovery may still start from the old files.
-  auto Synced = sync();
-  if (!Synced)
-    return Synced;
+  // loss recovery may still start from the old files. After a failure those
+  // files stay as they were at the last sync; nothing later was promised.
+  auto Ready = m_Impl->m_Failed ? discardUnsynced() : sync();
+  if (!Ready)
+    return Ready;
   const fs::path &Folder = m_Impl->m_Folder;
   std::uint64_t Next = m_Impl->m_SegmentNumber + 1;
   fs::path Snapshot =
@@ -360,6 +387,8 @@
   close(m_Impl->m_File);
   m_Impl->m_File = File;
   m_Impl->m_SegmentNumber = Next;
+  m_Impl->m_SyncedBytes = Content.size();
+  m_Impl->m_Failed = false;
   ++m_Impl->m_Syncs;
   std::error_code Ignored;
   for (const auto &[Number, Path] : listFiles(Folder, SegmentPrefix))
--- a/packages/runtime/journal.h
+++ b/packages/runtime/journal.h
@@ -24,7 +24,8 @@
 };
 
 // Write-ahead log of a replica. After any failed write or sync, whatever its
-// cause, all further operations fail, and the VM must step down.
+// cause, it is unknown which records are durable: append() and sync() fail, and
+// the VM must step down, until writeSnapshot() has stored everything anew.
 class Journal {
 public:
   // Opens or creates the data folder and reads its contents. Fails with Io, or
@@ -43,20 +44,25 @@
   [[nodiscard]] std::uint64_t bytesWritten() const noexcept;
   [[nodiscard]] std::uint64_t syncs() const noexcept;
 
-  // Each of these fails with Io after a write or a sync has failed. Appended
-  // records are buffered until the next sync.
+  // Each of these two fails with Io after a write or a sync has failed.
+  // Appended records are buffered until the next sync.
   [[nodiscard]] core::Outcome<bool>
   append(const messages::JournalRecord &Value);
   [[nodiscard]] core::Outcome<bool> sync();
   // Writes a snapshot, then a new segment that begins with HardState and Tail,
   // the log entries after the snapshot, and then removes the files that these
-  // two replace.
+  // two replace. After a failed write or sync, discards the records since the
+  // last successful sync; once it succeeds, the journal works again.
   [[nodiscard]] core::Outcome<bool>
   writeSnapshot(const messages::SnapshotFile &Value,
                 const replica::HardState &HardState,
                 const std::vector<replica::Entry> &Tail);
+  // Fails with Io while the data folder takes no data.
+  [[nodiscard]] core::Outcome<bool> checkWritable();
 
 private:
+  [[nodiscard]] core::Outcome<bool> discardUnsynced();
+
   struct Impl;
   explicit Journal(std::unique_ptr<Impl> Value) noexcept;
 
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -129,8 +129,7 @@
 // ---- Observation -----------------------------------------------------------
 
 bool Node::leads(core::Time Now) const {
-  return m_Replica && m_LeaderDriver.isLeading() &&
-         m_Replica->diskFailure().m_Code == core::ReasonCode::None &&
+  return m_Replica && m_LeaderDriver.isLeading() && !m_Replica->hasFailed() &&
          replica::holdsLease(m_Replica->replica(), Now);
 }
 
@@ -142,19 +141,21 @@
 core::VmId Node::leader(core::Time Now) const {
   if (leads(Now))
     return m_Settings.m_Self.m_Id;
-  // A replica whose disk failed takes no input, so it misses later leaders.
-  bool Current =
-      m_Replica && m_Replica->diskFailure().m_Code == core::ReasonCode::None;
-  if (Current && !m_Replica->replica().m_Leader.empty() &&
-      m_Replica->replica().m_Leader != m_Settings.m_Self.m_Id)
-    return m_Replica->replica().m_Leader;
+  core::VmId Followed = followedLeader();
+  if (!Followed.empty() && Followed != m_Settings.m_Self.m_Id)
+    return Followed;
   core::VmId Named = m_Membership.leader(Now, m_Detection);
   return Named == m_Settings.m_Self.m_Id ? core::VmId() : Named;
 }
 
+core::VmId Node::followedLeader() const {
+  // A replica whose disk failed takes no input, so it misses later leaders.
+  bool IsCurrent = m_Replica && !m_Replica->hasFailed();
+  return IsCurrent ? m_Replica->replica().m_Leader : core::VmId();
+}
+
 bool Node::isHealthy() const {
-  bool DiskWorks =
-      !m_Replica || m_Replica->diskFailure().m_Code == core::ReasonCode::None;
+  bool DiskWorks = !m_Replica || !m_Replica->hasFailed();
   return DiskWorks && !m_Entry.admission().m_Draining;
 }
 
@@ -402,7 +403,8 @@
                                   {"leader", Self.m_Leader.text()}});
   }
   logReplicas(Self.m_Log.membersAt(Self.m_Commit));
-  bool Leads = replica::holdsLease(Self, Now);
+  bool DiskWorks = !m_Replica->hasFailed();
+  bool Leads = DiskWorks && replica::holdsLease(Self, Now);
   if (Leads && !m_LeaderDriver.isLeading()) {
     m_LeaderDriver.begin(m_Replica->state(), Self.m_Hard.m_Term, Now);
     // The other VMs now forward operations over these connections and wait to
@@ -411,8 +413,10 @@
     m_LastHeartbeatAt = {};
   }
   // A leader that only lost its lease keeps its working state, and resumes if
-  // it regains the lease before another leader is elected.
-  if (Self.m_Role != replica::Role::Leader && m_LeaderDriver.isLeading())
+  // it regains the lease before another leader is elected. One whose disk
+  // failed can't tell whether another is elected.
+  bool MayResume = DiskWorks && Self.m_Role == replica::Role::Leader;
+  if (!MayResume && m_LeaderDriver.isLeading())
     m_LeaderDriver.end();
 }
 
@@ -483,7 +487,7 @@
       .m_From = m_Settings.m_Self.m_Id,
       .m_ConfigurationVersion = configurationVersion(),
       .m_Draining = m_Entry.admission().m_Draining,
-      .m_Leader = m_Replica ? m_Replica->replica().m_Leader : core::VmId(),
+      .m_Leader = followedLeader(),
       .m_Term = m_Replica ? m_Replica->replica().m_Hard.m_Term : 0,
       .m_HoldsLease = Leads,
       .m_Replicas = knownReplicas()};
@@ -500,8 +504,7 @@
 void Node::reopenStalledConnections(core::Time Now) {
   for (const core::VmId &Vm :
        m_Membership.stalledConnections(Now, m_Detection)) {
-    bool IsLeader = m_Replica && m_Replica->replica().m_Leader == Vm;
-    if (!IsLeader)
+    if (followedLeader() != Vm)
       continue;
     logEvent(Event::ConnectionSilent, {{"vm", Vm.text()}});
     m_Links.reconnect(Vm);
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -58,6 +58,9 @@
 
 private:
   [[nodiscard]] std::uint64_t configurationVersion() const;
+  // The leader that this VM's replica follows or is; empty while it knows none
+  // or has no replica.
+  [[nodiscard]] core::VmId followedLeader() const;
   [[nodiscard]] LeaderCallbacks makeLeaderCallbacks();
 
   void onMessage(messages::Envelope Value);
--- a/packages/runtime/replica_driver.cpp
+++ b/packages/runtime/replica_driver.cpp
@@ -6,6 +6,8 @@
 
 // Log entries before a snapshot that stay in memory for lagging followers.
 static constexpr std::uint64_t RetainedEntries = 1000;
+// Time between two attempts to use a disk again that refused a write.
+static constexpr core::Duration DiskRetryInterval{250};
 
 // ---- Opening ---------------------------------------------------------------
 
@@ -50,7 +52,7 @@
         Driver.m_Journal.append({.m_Value = Driver.m_Replica.m_Hard}));
     Driver.recordDiskError(Driver.m_Journal.sync());
   }
-  if (Driver.m_DiskFailure.m_Code != core::ReasonCode::None)
+  if (Driver.hasFailed())
     return Driver.m_DiskFailure;
   return Driver;
 }
@@ -58,7 +60,7 @@
 // ---- Carrying out effects --------------------------------------------------
 
 void ReplicaDriver::recordDiskError(const core::Outcome<bool> &Result) {
-  if (!Result && m_DiskFailure.m_Code == core::ReasonCode::None) {
+  if (!Result && !hasFailed()) {
     m_DiskFailure = Result.reason();
     logEvent(Event::DiskFailed, {{"reason", core::toString(m_DiskFailure)}});
   }
@@ -100,7 +102,7 @@
 void ReplicaDriver::step(const replica::Input &Value, core::Time Now) {
   // Votes and acknowledgements can't be made durable after a disk error, so
   // none are given.
-  if (m_DiskFailure.m_Code != core::ReasonCode::None)
+  if (hasFailed())
     return;
   replica::Step Next = replica::step(std::move(m_Replica), Value, Now);
   m_Replica = std::move(Next.m_Replica);
@@ -119,31 +121,61 @@
 }
 
 void ReplicaDriver::flush(core::Time Now) {
-  while (m_Journal.isDirty() || !m_MessagesAfterSync.empty() ||
-         !m_Committed.empty() || !m_SnapshotRecipients.empty()) {
-    bool Dirty = m_Journal.isDirty();
-    recordDiskError(m_Journal.sync());
-    if (m_DiskFailure.m_Code != core::ReasonCode::None) {
-      m_MessagesAfterSync.clear();
-      m_Committed.clear();
-      return;
-    }
-    for (replica::Outgoing &Each : std::exchange(m_MessagesAfterSync, {}))
-      m_Send(Each.m_To, std::move(Each.m_Message));
-    if (Dirty)
-      step(replica::Synced{.m_Index = m_Replica.m_Log.lastIndex()}, Now);
-    applyCommitted();
-    // A snapshot would claim entries that were not applied.
-    if (m_DiskFailure.m_Code != core::ReasonCode::None)
-      return;
-    for (const core::VmId &To : std::exchange(m_SnapshotRecipients, {}))
-      sendSnapshot(To, Now);
+  if (hasFailed())
+    retryDisk(Now);
+  while (!hasFailed() &&
+         (m_Journal.isDirty() || !m_MessagesAfterSync.empty() ||
+          !m_Committed.empty() || !m_SnapshotRecipients.empty()))
+    flushOnce(Now);
+  if (hasFailed()) {
+    m_MessagesAfterSync.clear();
+    m_SnapshotRecipients.clear();
+    return;
   }
   if (m_Replica.m_Commit - m_SnapshotIndex >=
       m_Options.m_SnapshotIntervalEntries)
     takeSnapshot(Now);
 }
 
+void ReplicaDriver::flushOnce(core::Time Now) {
+  bool Dirty = m_Journal.isDirty();
+  recordDiskError(m_Journal.sync());
+  if (hasFailed())
+    return;
+  for (replica::Outgoing &Each : std::exchange(m_MessagesAfterSync, {}))
+    m_Send(Each.m_To, std::move(Each.m_Message));
+  if (Dirty)
+    step(replica::Synced{.m_Index = m_Replica.m_Log.lastIndex()}, Now);
+  applyCommitted();
+  // A snapshot would claim entries that were not applied.
+  if (hasFailed())
+    return;
+  for (const core::VmId &To : std::exchange(m_SnapshotRecipients, {}))
+    sendSnapshot(To, Now);
+}
+
+// ---- Disk errors -----------------------------------------------------------
+
+// Takes part again once the disk takes data: whatever the failed write left
+// there is replaced by a snapshot and a segment of what this replica holds.
+// What it holds beyond its last sync was promised to nobody.
+void ReplicaDriver::retryDisk(core::Time Now) {
+  bool CanRetry = m_DiskFailure.m_Code == core::ReasonCode::Io;
+  if (!CanRetry || Now - m_DiskTriedAt < DiskRetryInterval)
+    return;
+  m_DiskTriedAt = Now;
+  if (!m_Journal.checkWritable())
+    return;
+  applyCommitted();
+  // An entry that can't be decoded has no place in a snapshot.
+  if (m_DiskFailure.m_Code != core::ReasonCode::Io || !writeSnapshot())
+    return;
+  m_DiskFailure = {};
+  logEvent(Event::DiskRecovered,
+           {{"index", std::to_string(m_Replica.m_Log.lastIndex())}});
+  step(replica::Synced{.m_Index = m_Replica.m_Log.lastIndex()}, Now);
+}
+
 // ---- Applying --------------------------------------------------------------
 
 void ReplicaDriver::applyCommitted() {
@@ -154,6 +186,7 @@
       // The checksum was valid when the batch was stored, so a batch that can't
       // be decoded can't be repaired.
       if (!Batch) {
+        m_DiskFailure = {};
         recordDiskError(Batch.reason());
         return;
       }
@@ -183,17 +216,24 @@
                                       .m_State = std::move(Value.m_State)});
 }
 
-void ReplicaDriver::takeSnapshot(core::Time Now) {
+core::Outcome<bool> ReplicaDriver::writeSnapshot() {
   messages::SnapshotFile Value = makeSnapshot();
   const replica::Log &Log = m_Replica.m_Log;
   std::vector<replica::Entry> Tail = Log.slice(
       Value.m_Point.m_Index + 1, Log.lastIndex(), static_cast<std::size_t>(-1));
-  recordDiskError(m_Journal.writeSnapshot(Value, m_Replica.m_Hard, Tail));
+  auto Written = m_Journal.writeSnapshot(Value, m_Replica.m_Hard, Tail);
+  if (!Written)
+    return Written;
   m_SnapshotIndex = Value.m_Point.m_Index;
   logEvent(Event::SnapshotWritten,
            {{"index", std::to_string(m_SnapshotIndex)},
             {"bytes", std::to_string(Value.m_State.size())}});
-  if (m_SnapshotIndex > RetainedEntries)
+  return true;
+}
+
+void ReplicaDriver::takeSnapshot(core::Time Now) {
+  recordDiskError(writeSnapshot());
+  if (!hasFailed() && m_SnapshotIndex > RetainedEntries)
     step(replica::SnapshotTaken{.m_Index = m_SnapshotIndex - RetainedEntries},
          Now);
 }
--- a/packages/runtime/replica_driver.h
+++ b/packages/runtime/replica_driver.h
@@ -43,12 +43,15 @@
   [[nodiscard]] const RecoveredContent &recoveredContent() const noexcept {
     return m_RecoveredContent;
   }
-  // The first disk error, or the first error in decoding a batch or snapshot;
-  // code None before. From then on the replica takes no input, and messages
-  // that wait for a sync are dropped.
+  // The disk error, or the error in decoding a batch or snapshot, because of
+  // which the replica takes no input and drops messages that wait for a sync;
+  // code None while there is none. Only a disk error (Io) can pass.
   [[nodiscard]] const core::Reason &diskFailure() const noexcept {
     return m_DiskFailure;
   }
+  [[nodiscard]] bool hasFailed() const noexcept {
+    return m_DiskFailure.m_Code != core::ReasonCode::None;
+  }
 
   // Steps the replica with one input. Appends its records to the journal and
   // installs a received snapshot. The sync, the messages and the application of
@@ -57,7 +60,7 @@
   void step(const replica::Input &Value, core::Time Now);
   // Writes everything with one sync, sends messages, and applies committed
   // entries; repeats while that leads to more. Then takes a snapshot if one is
-  // due.
+  // due. After a disk error, tries from time to time to store everything anew.
   void flush(core::Time Now);
 
 private:
@@ -66,10 +69,14 @@
                 RecoveredContent Content) noexcept;
 
   void write(const replica::Effects &Value);
+  void flushOnce(core::Time Now);
+  void retryDisk(core::Time Now);
   void installSnapshot(const replica::InstallSnapshot &Value);
   void sendSnapshot(const core::VmId &To, core::Time Now);
   void applyCommitted();
   void takeSnapshot(core::Time Now);
+  // Stores the state and the log in new files. Fails with Io.
+  [[nodiscard]] core::Outcome<bool> writeSnapshot();
   void recordDiskError(const core::Outcome<bool> &Result);
   [[nodiscard]] messages::SnapshotFile makeSnapshot() const;
 
@@ -85,6 +92,7 @@
   std::vector<core::VmId> m_SnapshotRecipients;
   std::vector<replica::Entry> m_Committed;
   core::Reason m_DiskFailure;
+  core::Time m_DiskTriedAt;
 };
 
 } // namespace fireflydrift::runtime
