Remove a replaced voter before it stops

The successor was the fourth voter, the stopped one stayed a voter for 5 s of silence counted from each election, and a wiped replica has no vote: two of four were left.

VMs that shut down say so in their heartbeats. The leader now removes such a voter at once when the set has more than it is meant to keep, and the stopping replica waits for that within its drain timeout. The related path, a leader lost without a plan, is closed too: a voter to spare is removed after 1.5 s without an answer, so that the set is whole before the successor's time to catch up is over.

Ruled out: a successor that had not caught up. A shorter silence alone does not close the window of a planned replacement.

--- a/packages/replica/replica.cpp
+++ b/packages/replica/replica.cpp
@@ -61,6 +61,18 @@
          Value.m_Commit >= Value.m_TermStart && hasBlockingSet(Value, Now);
 }
 
+// Returns true if a voter may be removed without a replacement: any VM may
+// join, and the set has more voters than it is meant to keep.
+static bool hasSurplusVoter(const Replica &Value) {
+  return Value.m_Join.m_AllowAnyVm &&
+         members(Value).voters().size() > Value.m_Join.m_Voters;
+}
+
+bool awaitsRemoval(const Replica &Value) {
+  return Value.m_Draining.contains(Value.m_Self) &&
+         members(Value).isVoter(Value.m_Self) && hasSurplusVoter(Value);
+}
+
 static core::Duration electionDelay(const Replica &Value) {
   // Derived from the seed and the term, so that a step is deterministic.
   std::seed_seq Seed{static_cast<std::uint32_t>(Value.m_Options.m_Seed),
@@ -250,7 +262,8 @@
   Members All = members(Self);
   for (const auto &[Vm, Value] : All.all()) {
     auto Known = Self.m_Progress.find(Vm);
-    if (Value.m_Voter || Known == Self.m_Progress.end() ||
+    if (Value.m_Voter || Self.m_Draining.contains(Vm) ||
+        Known == Self.m_Progress.end() ||
         Known->second.m_Match + MaxPromotionLagEntries < Self.m_Commit ||
         Known->second.m_Match == 0)
       continue;
@@ -270,23 +283,32 @@
                   : Self.m_LeaderSince;
 }
 
-// Removes an unresponsive voter that another one has replaced. While the set
-// has no more than m_Voters voters, an unresponsive voter stays a member,
-// because its VM may be suspended and return.
-static void removeUnresponsiveVoter(StepContext &Context) {
-  Replica &Self = Context.m_Replica;
-  Members All = members(Self);
-  std::set<core::VmId> Voters = All.voters();
-  if (!Self.m_Join.m_AllowAnyVm || !mayChangeMembers(Self) ||
-      Voters.size() <= Self.m_Join.m_Voters)
-    return;
-  for (const core::VmId &Vm : Voters) {
-    bool Unresponsive =
-        Vm != Self.m_Self &&
-        Context.m_Now - lastAnswer(Self, Vm) >= Self.m_Join.m_RemoveVoterAfter;
-    if (Unresponsive && changeMembers(Context, All.without(Vm)))
-      return;
+// Returns the voter to remove while the set has more than it is meant to keep:
+// one that does not respond, otherwise one that is about to stop.
+static std::optional<core::VmId> replacedVoter(const Replica &Self,
+                                               core::Time Now) {
+  std::optional<core::VmId> Stopping;
+  for (const core::VmId &Vm : members(Self).voters()) {
+    if (Vm == Self.m_Self)
+      continue;
+    if (Now - lastAnswer(Self, Vm) >= Self.m_Join.m_RemoveVoterAfter)
+      return Vm;
+    if (Self.m_Draining.contains(Vm))
+      Stopping = Vm;
   }
+  return Stopping;
+}
+
+// Removes a lost or stopping voter that another one has replaced: until it is
+// removed, its missing vote counts against the set, and one more loss could
+// leave too few votes for good. While the set has no more than m_Voters voters,
+// such a voter stays a member, because its VM may return.
+static void removeReplacedVoter(StepContext &Context) {
+  const Replica &Self = Context.m_Replica;
+  if (!hasSurplusVoter(Self) || !mayChangeMembers(Self))
+    return;
+  if (auto Vm = replacedVoter(Self, Context.m_Now))
+    (void)changeMembers(Context, members(Self).without(*Vm));
 }
 
 static void becomeLeader(StepContext &Context) {
@@ -581,7 +603,9 @@
                  .m_Region = Self.m_Region,
                  .m_FailureDomain = Self.m_FailureDomain,
                  .m_Members = members(Self)});
-  bool MayJoin = Self.m_Join.m_AllowAnyVm || Self.m_KnownPeers.contains(From);
+  bool MayJoin =
+      (Self.m_Join.m_AllowAnyVm || Self.m_KnownPeers.contains(From)) &&
+      !Self.m_Draining.contains(From);
   if (Self.m_Role != Role::Leader || !MayJoin)
     return;
   const Members &All = members(Self);
@@ -595,7 +619,8 @@
                  .m_FailureDomain = Value.m_FailureDomain,
                  .m_Voter = false};
   if (mayChangeMembers(Self)) {
-    Self.m_Progress[From] = Progress{};
+    // One that was removed and returns may still hold most of the log.
+    Self.m_Progress[From] = Progress{.m_Next = Self.m_Log.lastIndex() + 1};
     (void)changeMembers(Context, All.with(From, Learner));
   }
 }
@@ -662,7 +687,7 @@
   // Proposals count as heartbeats, so these checks must not depend on a
   // heartbeat being due.
   promoteLearner(Context);
-  removeUnresponsiveVoter(Context);
+  removeReplacedVoter(Context);
 }
 
 static void handle(StepContext &Context, const Tick &) {
@@ -675,7 +700,7 @@
     return;
   // The leader may have removed this replica while it was suspended; a join
   // request adds it again.
-  if (Self.m_Join.m_AllowAnyVm)
+  if (Self.m_Join.m_AllowAnyVm && !Self.m_Draining.contains(Self.m_Self))
     sendJoinRequests(Context);
   if (members(Self).isVoter(Self.m_Self))
     startPreVote(Context);
@@ -720,6 +745,10 @@
   Context.m_Replica.m_KnownPeers.insert(Value.m_Vms.begin(), Value.m_Vms.end());
 }
 
+static void handle(StepContext &Context, const VmsDraining &Value) {
+  Context.m_Replica.m_Draining = Value.m_Vms;
+}
+
 static void handle(StepContext &Context, const StartLeadershipTransfer &) {
   Replica &Self = Context.m_Replica;
   if (Self.m_Role != Role::Leader || Self.m_TransferredAt)
@@ -727,7 +756,9 @@
   const core::VmId *Best = nullptr;
   std::uint64_t BestMatch = 0;
   for (const auto &[Vm, Known] : Self.m_Progress) {
-    bool IsEligible = members(Self).isVoter(Vm) && Known.m_Match > BestMatch &&
+    bool IsEligible = members(Self).isVoter(Vm) &&
+                      !Self.m_Draining.contains(Vm) &&
+                      Known.m_Match > BestMatch &&
                       activeReplicas(Self, Context.m_Now).contains(Vm);
     if (IsEligible) {
       Best = &Vm;
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -76,10 +76,11 @@
   // join.
   bool m_AllowAnyVm = false;
   // Number of voters to keep if any VM may join. A lost voter is removed once
-  // others have replaced it.
+  // others have replaced it, and one that is about to stop as well.
   std::uint32_t m_Voters = 3;
-  // A voter above that number is removed after this long without a reply.
-  core::Duration m_RemoveVoterAfter{5000};
+  // A voter above that number is removed after this long without a reply. Until
+  // then the set can bear one loss less.
+  core::Duration m_RemoveVoterAfter{1500};
 
   friend bool operator==(const JoinOptions &, const JoinOptions &) = default;
   friend auto operator<=>(const JoinOptions &, const JoinOptions &) = default;
@@ -95,6 +96,8 @@
   std::set<core::VmId> m_KnownPeers;
   JoinOptions m_Join;
   ReplicaOptions m_Options;
+  // The VMs that are about to stop, which may include this one.
+  std::set<core::VmId> m_Draining;
 
   HardState m_Hard;
   Role m_Role = Role::Uninitialized;
@@ -190,6 +193,11 @@
   friend bool operator==(const PeersDiscovered &,
                          const PeersDiscovered &) = default;
 };
+// The VMs that are about to stop, as far as this one knows.
+struct VmsDraining {
+  std::set<core::VmId> m_Vms;
+  friend bool operator==(const VmsDraining &, const VmsDraining &) = default;
+};
 // Asks the most up-to-date active voter to take over the leadership, and gives
 // up the lease. Ignored when there is no such voter.
 struct StartLeadershipTransfer {
@@ -197,8 +205,9 @@
                          const StartLeadershipTransfer &) = default;
 };
 
-using Input = std::variant<Tick, Received, Propose, Synced, SnapshotTaken,
-                           Campaign, StartLeadershipTransfer, PeersDiscovered>;
+using Input =
+    std::variant<Tick, Received, Propose, Synced, SnapshotTaken, Campaign,
+                 StartLeadershipTransfer, PeersDiscovered, VmsDraining>;
 
 struct Outgoing {
   core::VmId m_To;
@@ -249,6 +258,10 @@
 // is committed, and no other replica was asked to take over.
 [[nodiscard]] bool holdsLease(const Replica &Value, core::Time Now);
 
+// Returns true if this replica is about to stop and the leader may remove it,
+// because the set has more voters than it is meant to keep.
+[[nodiscard]] bool awaitsRemoval(const Replica &Value);
+
 // Returns the length of the leader's lease, counted from the send time of an
 // answered message.
 [[nodiscard]] core::Duration leaseLength(const ReplicaOptions &Options);
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -163,11 +163,19 @@
   if (!m_Entry.admission().m_Draining)
     return false;
   bool Idle = m_Entry.pendingCount() == 0 &&
-              m_LeaderDriver.pendingCount() == 0 &&
+              m_LeaderDriver.pendingCount() == 0 && !awaitsRemoval() &&
               Now - m_DrainingSince >= m_Settings.m_MinDrainTime;
   return Idle || Now - m_DrainingSince >= m_Settings.m_DrainTimeout;
 }
 
+bool Node::awaitsRemoval() const {
+  if (!m_Replica || !replica::awaitsRemoval(m_Replica->replica()))
+    return false;
+  // A removed replica gets no entries any more, so its own log does not tell.
+  return m_Replica->replica().m_Role == replica::Role::Leader ||
+         m_LeaderNamesSelf;
+}
+
 std::string Node::metricsText() {
   core::Time Now = now();
   m_Counters.set("fireflydrift_configuration_version", configurationVersion());
@@ -308,6 +316,9 @@
                     Now);
   if (!Value.m_HoldsLease)
     return;
+  m_LeaderNamesSelf =
+      std::find(Value.m_Replicas.begin(), Value.m_Replicas.end(),
+                m_Settings.m_Self.m_Id) != Value.m_Replicas.end();
   m_NewestVersion = std::max(m_NewestVersion, Value.m_ConfigurationVersion);
   // Only a VM whose configuration is at least as new as the leader's may go on
   // admitting requests and extending leases.
@@ -425,6 +436,9 @@
 void Node::tickReplica(core::Time Now) {
   if (Now - m_LastReplicaTickAt >= ReplicaTickInterval) {
     m_LastReplicaTickAt = Now;
+    std::set<core::VmId> Draining = drainingVms();
+    if (Draining != m_Replica->replica().m_Draining)
+      m_Replica->step(replica::VmsDraining{std::move(Draining)}, Now);
     m_Replica->step(replica::Tick{}, Now);
   }
   m_Replica->flush(Now);
@@ -467,13 +481,27 @@
   if (!m_Replica || !m_Membership.hasDiscovery())
     return Known;
   // The newest replica set, committed or not: after a restart the commit index
-  // is known again only once these replicas have elected a leader.
-  const replica::Log &Log = m_Replica->replica().m_Log;
-  for (const auto &[Vm, Value] : Log.membersAt(Log.lastIndex()).all())
+  // is known again only once these replicas have elected a leader. A replica
+  // whose removal is not committed is still one.
+  const replica::Replica &Self = m_Replica->replica();
+  replica::Members All = Self.m_Log.membersAt(Self.m_Log.lastIndex());
+  for (const auto &[Vm, Value] : Self.m_Log.membersAt(Self.m_Commit).all())
+    All = All.with(Vm, Value);
+  for (const auto &[Vm, Value] : All.all())
     Known.push_back(Vm);
   return Known;
 }
 
+std::set<core::VmId> Node::drainingVms() const {
+  std::set<core::VmId> Draining;
+  for (const auto &[Vm, Known] : m_Membership.contacts())
+    if (Known.m_Draining)
+      Draining.insert(Vm);
+  if (m_Entry.admission().m_Draining)
+    Draining.insert(m_Settings.m_Self.m_Id);
+  return Draining;
+}
+
 void Node::sendHeartbeats(core::Time Now) {
   bool Leads = leads(Now);
   if (Leads)
@@ -612,6 +640,8 @@
     return;
   m_Entry.drain();
   m_DrainingSince = Now;
+  // The others hear of it at once.
+  m_LastHeartbeatAt = {};
   logEvent(Event::Stopping, {{"held", std::to_string(m_Entry.pendingCount())}});
   if (m_Replica)
     m_Replica->step(replica::StartLeadershipTransfer{}, Now);
--- a/packages/runtime/node.h
+++ b/packages/runtime/node.h
@@ -30,8 +30,9 @@
   [[nodiscard]] core::Time now() const { return m_Loop.now(); }
   // True when this VM can serve: it is not draining and its disk works.
   [[nodiscard]] bool isHealthy() const;
-  // True once a draining VM has no pending requests and has drained for the
-  // minimum time, or its drain timeout has passed.
+  // True once a draining VM has no pending requests, is no replaced member of
+  // the replica set and has drained for the minimum time, or its drain timeout
+  // has passed.
   [[nodiscard]] bool isDrained(core::Time Now) const;
   [[nodiscard]] std::string metricsText();
 
@@ -86,6 +87,10 @@
   void reopenStalledConnections(core::Time Now);
   void removeUnresponsiveVms(core::Time Now);
   [[nodiscard]] std::vector<core::VmId> knownReplicas() const;
+  [[nodiscard]] std::set<core::VmId> drainingVms() const;
+  // True while the leader has yet to remove this stopping replica from the set,
+  // which has a replacement for it.
+  [[nodiscard]] bool awaitsRemoval() const;
   void releaseHeldReports(core::Time Now);
 
   // A report that arrived while no leader was known.
@@ -111,6 +116,8 @@
   // Newest configuration version that a leader's heartbeat has named.
   std::uint64_t m_NewestVersion = 0;
   std::uint64_t m_LoggedVersion = 0;
+  // Whether the last heartbeat of a leader names this VM among the replicas.
+  bool m_LeaderNamesSelf = false;
   bool m_ReadingConfiguration = false;
   replica::Role m_LastRole = replica::Role::Uninitialized;
   core::VmId m_LastLeader;
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -387,6 +387,106 @@
   EXPECT_TRUE(Leader.m_Log.membersAt(Leader.m_Commit).isVoter(Stopped));
 }
 
+// ---- Replacement -----------------------------------------------------------
+
+// Time for which a machine that is back or new counts as lost (catchUpS).
+static constexpr core::Duration CatchUpTime{4000};
+
+// Three replicas whose set any VM may join, with the timeouts of the
+// deployment.
+static ClusterOptions replaceableReplicas(unsigned Seed) {
+  return {.m_Replica = {.m_ElectionTimeout = core::Duration(500),
+                        .m_Heartbeat = core::Duration(125),
+                        .m_Seed = Seed},
+          .m_Join = {.m_MayBootstrap = false, .m_AllowAnyVm = true}};
+}
+
+static void setDraining(Cluster &All, const std::set<core::VmId> &Vms) {
+  for (const core::VmId &Id : All.ids())
+    All.step(Id, VmsDraining{Vms}, false);
+}
+
+// The leader's disk is lost; with all others up the set must elect again.
+static void expectLeaderAfterLostDisk(Cluster &All) {
+  ASSERT_NE(All.leader(), nullptr);
+  All.replaceDisk(All.leader()->m_Self);
+  constexpr core::Duration RecoveryTime{12000};
+  All.run(RecoveryTime);
+  EXPECT_NE(All.leader(), nullptr) << "no leader after the loss of a disk";
+}
+
+// Guards against a set without a leader for good: a replica that had been
+// replaced and stopped stayed a voter for seconds, and when the leader then
+// lost its disk, two of four votes were left.
+TEST(Replica, ReplacedVoterIsRemovedBeforeItStops) {
+  for (unsigned Seed = 1; Seed <= 20; ++Seed)
+    for (const core::VmId &Replaced : {A, B, C}) {
+      SCOPED_TRACE("seed " + std::to_string(Seed) + " " + Replaced.text());
+      Cluster All(replaceableReplicas(Seed));
+      All.run(SettleTime);
+      All.addUnlistedVm(core::VmId("x"));
+      All.run(CatchUpTime);
+      setDraining(All, {Replaced});
+      All.step(Replaced, StartLeadershipTransfer{}, false);
+      constexpr core::Duration MinDrainTime{1000};
+      All.run(MinDrainTime);
+      All.crash(Replaced);
+      expectLeaderAfterLostDisk(All);
+    }
+}
+
+// The same without a plan: the leader is gone for good and a new VM has had the
+// time to catch up, when the next leader loses its disk.
+TEST(Replica, LostVoterIsRemovedOnceAnotherHasCaughtUp) {
+  for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+    SCOPED_TRACE("seed " + std::to_string(Seed));
+    Cluster All(replaceableReplicas(Seed));
+    All.run(SettleTime);
+    ASSERT_NE(All.leader(), nullptr);
+    All.crash(All.leader()->m_Self);
+    All.addUnlistedVm(core::VmId("x"));
+    All.run(CatchUpTime);
+    expectLeaderAfterLostDisk(All);
+  }
+}
+
+TEST(Replica, StoppingVoterStaysMemberWithoutAReplacement) {
+  Cluster All(replaceableReplicas(1));
+  All.run(SettleTime);
+  core::VmId Leader = All.leader()->m_Self;
+  core::VmId Stopping = Leader == A ? B : A;
+  setDraining(All, {Stopping});
+  EXPECT_FALSE(awaitsRemoval(All.at(Stopping)));
+  All.run(SettleTime);
+  const Replica &Current = All.at(Leader);
+  EXPECT_TRUE(Current.m_Log.membersAt(Current.m_Commit).isVoter(Stopping));
+}
+
+// A stopping replica that was removed must not come back before it has stopped,
+// but once it runs again.
+TEST(Replica, RemovedVoterRejoinsOnlyAfterItsRestart) {
+  Cluster All(replaceableReplicas(1));
+  All.run(SettleTime);
+  All.addUnlistedVm(core::VmId("x"));
+  All.run(CatchUpTime);
+  core::VmId Stopping = All.leader()->m_Self == A ? B : A;
+  setDraining(All, {Stopping});
+  EXPECT_TRUE(awaitsRemoval(All.at(Stopping)));
+  All.run(SettleTime);
+  auto IsMember = [&] {
+    const Replica &Current = *All.leader();
+    return Current.m_Log.membersAt(Current.m_Commit).find(Stopping) != nullptr;
+  };
+  ASSERT_NE(All.leader(), nullptr);
+  EXPECT_FALSE(IsMember());
+  All.crash(Stopping);
+  All.restart(Stopping);
+  setDraining(All, {});
+  All.run(SettleTime);
+  ASSERT_NE(All.leader(), nullptr);
+  EXPECT_TRUE(IsMember());
+}
+
 TEST(Replica, UninitializedReplicaDoesNotBootstrapAfterTheFirstStart) {
   core::VmId Self("a");
   Replica Uninitialized =
