--- a/tests/runtime/node_test.cpp
+++ b/tests/runtime/node_test.cpp
@@ -2,6 +2,9 @@
 // other VM.
 #include "runtime/node.h"
 
+#include "runtime/full_disk.h"
+
+#include <filesystem>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -104,6 +107,71 @@
   std::optional<control::Reply> m_Reply;
 };
 
+// Replica VM "a", the only one of its set, with links in place of entry VM "b".
+class ReplicaBesideEntry {
+public:
+  ReplicaBesideEntry()
+      : m_Folder(std::filesystem::temp_directory_path() /
+                 ("fd-node-" + std::to_string(getpid()))),
+        m_Host(uniqueHost()), m_Entry(m_Loop, B, vms(m_Host), {}),
+        m_Node(m_Loop, settings(m_Host, m_Folder.string())) {
+    EXPECT_TRUE(
+        m_Entry.listen({.m_OnMessage = [](const messages::Envelope &) {},
+                        .m_OnHeartbeat =
+                            [this](const membership::Heartbeat &Value) {
+                              m_NamedLeader = Value.m_Leader;
+                            },
+                        .m_OnRefused = [](const Refusal &) {}}));
+    EXPECT_TRUE(m_Node.start());
+  }
+  ~ReplicaBesideEntry() { std::filesystem::remove_all(m_Folder); }
+
+  [[nodiscard]] Node &node() { return m_Node; }
+  // Runs until the replica's heartbeats name this leader.
+  void awaitNamedLeader(const core::VmId &Leader) {
+    runUntil([&] { return m_NamedLeader == Leader; });
+  }
+  void runUntil(const std::function<bool()> &Done) {
+    constexpr int MaxRounds = 5000;
+    for (int I = 0; I < MaxRounds && !Done(); ++I) {
+      m_Loop.resume();
+      m_Loop.run([&] {
+        m_Entry.maintain(m_Loop.now());
+        (void)m_Node.tick();
+        m_Loop.stop();
+        return core::Duration(1);
+      });
+      usleep(1000);
+    }
+    EXPECT_TRUE(Done());
+  }
+
+private:
+  static std::vector<membership::VmAddress> vms(const std::string &Host) {
+    return {{.m_Id = A, .m_Host = Host, .m_Port = APort, .m_Replica = true},
+            {.m_Id = B, .m_Host = Host, .m_Port = BPort}};
+  }
+  static Settings settings(const std::string &Host, const std::string &Folder) {
+    std::filesystem::remove_all(Folder);
+    auto Values = parseSettings(
+        "[vm]\nid = a\n[http]\nhost = 127.0.0.1\nport = 1\n[replica]\n"
+        "data_folder = " +
+            Folder + "\n[vms]\na = " + Host + ":" + std::to_string(APort) +
+            " r d replica\nb = " + Host + ":" + std::to_string(BPort) +
+            " r e entry\n",
+        "test");
+    EXPECT_TRUE(Values) << core::toString(Values.reason());
+    return *Values;
+  }
+
+  Loop m_Loop;
+  std::filesystem::path m_Folder;
+  std::string m_Host;
+  Links m_Entry;
+  Node m_Node;
+  std::optional<core::VmId> m_NamedLeader;
+};
+
 } // namespace
 
 // Guards against jobs that are acknowledged and never stored: the reply to a
@@ -120,3 +188,26 @@
   Successor.replyFromLeader(Id, Expected);
   EXPECT_EQ(Successor.awaitReply(), Expected);
 }
+
+// Guards against calls that wait for a leader that can't lead: a replica whose
+// disk had failed went on naming its last leader, such as itself.
+TEST(Node, ReplicaNamesNoLeaderWhileItsDiskIsFull) {
+  ReplicaBesideEntry Vms;
+  Vms.awaitNamedLeader(A);
+  std::optional<control::Reply> Reply;
+  {
+    FullDisk Full(0);
+    Vms.node().entry().submit(
+        control::PutConfiguration{{.m_Version = 1}}, core::WorkspaceId(),
+        [&](control::Reply Value) { Reply = std::move(Value); },
+        Vms.node().now());
+    Vms.awaitNamedLeader(core::VmId());
+    EXPECT_FALSE(Vms.node().isHealthy());
+    EXPECT_FALSE(Reply);
+  }
+  Vms.awaitNamedLeader(A);
+  EXPECT_TRUE(Vms.node().isHealthy());
+  Vms.runUntil([&] { return Reply.has_value(); });
+  ASSERT_TRUE(Reply);
+  EXPECT_FALSE(std::holds_alternative<control::Failure>(*Reply));
+}
