Hold the lease against the set before an uncommitted change too

The leader counted itself and the learner that it was promoting as two of four; the other two had not heard of the change and elected by the three voters before it.

Lease, stepping down and refusing votes now hold against the newest and the committed set.

Ruled out: a broken promise of the voters, a transfer.

Evidence: LeaseHoldsAgainstTheSetBeforeAnUncommittedPromotion fails without the change ("two leaders hold a lease at once").

--- a/packages/replica/replica.cpp
+++ b/packages/replica/replica.cpp
@@ -46,16 +46,28 @@
   return Active;
 }
 
-// Returns true if the voters that are not active cannot elect another leader.
-// The active ones may be fewer than a majority, such as one of two voters.
-static bool hasBlockingSet(const Replica &Value, core::Time Now) {
-  const Members &All = members(Value);
+// Returns true if the voters of All that are not active cannot elect another
+// leader. The active ones may be fewer than a majority, such as one of two
+// voters.
+static bool preventsElection(const Replica &Value, const Members &All,
+                             const std::set<core::VmId> &Active) {
   std::set<core::VmId> Others = All.voters();
-  for (const core::VmId &Vm : activeReplicas(Value, Now))
+  for (const core::VmId &Vm : Active)
     Others.erase(Vm);
   return !isElectionQuorum(Value.m_Options.m_Rule, All, Others);
 }
 
+// Returns true if no other leader can be elected. A change of the replica set
+// that is not committed may be unknown to the others, which then elect by the
+// set before it. That one is known once an entry of this term is committed.
+static bool hasBlockingSet(const Replica &Value, core::Time Now) {
+  std::set<core::VmId> Active = activeReplicas(Value, Now);
+  if (!preventsElection(Value, members(Value), Active))
+    return false;
+  return Value.m_Commit < Value.m_TermStart ||
+         preventsElection(Value, Value.m_Log.membersAt(Value.m_Commit), Active);
+}
+
 bool holdsLease(const Replica &Value, core::Time Now) {
   return Value.m_Role == Role::Leader && !Value.m_TransferredAt &&
          Value.m_Commit >= Value.m_TermStart && hasBlockingSet(Value, Now);
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -450,6 +450,46 @@
   }
 }
 
+// Guards against two leaders: one that was promoting a learner counted the two
+// of them as half of the new set while the other half, which had not heard of
+// the change, elected a leader by the set before it.
+TEST(Replica, LeaseHoldsAgainstTheSetBeforeAnUncommittedPromotion) {
+  for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+    SCOPED_TRACE("seed " + std::to_string(Seed));
+    Cluster All({.m_Replicas = 4, .m_Replica = {.m_Seed = Seed}});
+    All.run(SettleTime);
+    ASSERT_NE(All.leader(), nullptr);
+    core::VmId Leader = All.leader()->m_Self;
+    core::VmId Learner = Leader == A ? B : A;
+    All.replaceDisk(Learner);
+    // Cut the leader and the learner off the moment the promotion is proposed.
+    auto IsPromoting = [&] {
+      const Replica &Self = All.at(Leader);
+      return Self.m_Log.membersIndex() > Self.m_Commit &&
+             Self.m_Log.membersAt(Self.m_Log.lastIndex()).isVoter(Learner) &&
+             !Self.m_Log.membersAt(Self.m_Commit).isVoter(Learner);
+    };
+    for (int I = 0; I < 5000 && !IsPromoting(); ++I) {
+      if (All.m_InFlight.empty()) {
+        All.advance(core::Duration(20));
+        All.tickAll();
+      } else {
+        All.deliver(0);
+      }
+    }
+    ASSERT_TRUE(IsPromoting());
+    for (const core::VmId &Id : All.ids())
+      if (Id != Leader && Id != Learner) {
+        All.disconnect(Leader, Id);
+        All.disconnect(Learner, Id);
+      }
+    // The cluster checks that at most one replica holds a lease.
+    All.run(core::Duration(20000));
+    ASSERT_NE(All.leader(), nullptr);
+    EXPECT_NE(All.leader()->m_Self, Leader);
+  }
+}
+
 TEST(Replica, StoppingVoterStaysMemberWithoutAReplacement) {
   Cluster All(replaceableReplicas(1));
   All.run(SettleTime);
