--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -409,7 +409,9 @@
 // The leader's disk is lost; with all others up the set must elect again.
 static void expectLeaderAfterLostDisk(Cluster &All) {
   ASSERT_NE(All.leader(), nullptr);
-  All.replaceDisk(All.leader()->m_Self);
+  // A copy: the crash destroys the replica that holds the id.
+  core::VmId Wiped = All.leader()->m_Self;
+  All.replaceDisk(Wiped);
   constexpr core::Duration RecoveryTime{12000};
   All.run(RecoveryTime);
   EXPECT_NE(All.leader(), nullptr) << "no leader after the loss of a disk";
@@ -443,7 +445,8 @@
     Cluster All(replaceableReplicas(Seed));
     All.run(SettleTime);
     ASSERT_NE(All.leader(), nullptr);
-    All.crash(All.leader()->m_Self);
+    core::VmId Lost = All.leader()->m_Self;
+    All.crash(Lost);
     All.addUnlistedVm(core::VmId("x"));
     All.run(CatchUpTime);
     expectLeaderAfterLostDisk(All);
