Share the loopback addresses and the loop of the node tests

links_test and node_test chose unique loopback addresses by the same lines, and the two fixtures of node_test each ran the loop by a copy of the other; each is one function now, with each fixture's limit of rounds as before. Two comments say more exactly what the code does. No product code changes.

--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -21,7 +21,7 @@
 // a replica.
 static constexpr core::Duration RemoveVmAfter{30000};
 
-// A number that no earlier process of this VM has drawn.
+// A random number, so that processes of the same VM draw different ones.
 static std::uint64_t drawUniqueNumber() {
   std::random_device Random;
   return static_cast<std::uint64_t>(Random()) << 32U | Random();
--- a/packages/runtime/replica_driver.cpp
+++ b/packages/runtime/replica_driver.cpp
@@ -184,7 +184,8 @@
     if (!Each.m_Commands.empty()) {
       auto Batch = messages::decodeBatch(Each.m_Commands);
       // The checksum was valid when the batch was stored, so a batch that can't
-      // be decoded can't be repaired.
+      // be decoded can't be repaired. This takes the place of a disk error,
+      // which could pass.
       if (!Batch) {
         m_DiskFailure = {};
         recordDiskError(Batch.reason());
--- a/tests/runtime/links_test.cpp
+++ b/tests/runtime/links_test.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.h"
 #include "runtime/h2o_api.h"
+#include "runtime/loopback_host.h"
 
 #include <csignal>
 #include <cstring>
@@ -34,16 +35,6 @@
   }
   ~LinksTest() override { close(m_Listener); }
 
-  // Sockets of Links stay open until the process ends, so each test uses a
-  // loopback address of its own.
-  static std::string uniqueHost() {
-    static int Tests = 0;
-    constexpr int Octet = 256;
-    int Process = getpid();
-    return "127." + std::to_string(100 + ++Tests) + "." +
-           std::to_string(Process / Octet % Octet) + "." +
-           std::to_string(Process % Octet);
-  }
   // Runs the loop until the socket is readable.
   void awaitInput(int Socket) {
     constexpr int MaxTicks = 5000;
--- a/tests/runtime/node_test.cpp
+++ b/tests/runtime/node_test.cpp
@@ -3,6 +3,7 @@
 #include "runtime/node.h"
 
 #include "runtime/full_disk.h"
+#include "runtime/loopback_host.h"
 
 #include <filesystem>
 #include <gtest/gtest.h>
@@ -19,15 +20,19 @@
 constexpr std::uint16_t APort = 19881;
 constexpr std::uint16_t BPort = 19882;
 
-// Sockets of Links stay open until the process ends, so each node uses a
-// loopback address of its own.
-std::string uniqueHost() {
-  static int Hosts = 0;
-  constexpr int Octet = 256;
-  int Process = getpid();
-  return "127." + std::to_string(200 + ++Hosts) + "." +
-         std::to_string(Process / Octet % Octet) + "." +
-         std::to_string(Process % Octet);
+// Runs the loop, with Tick after each iteration, until Done returns true, at
+// most MaxRounds times.
+void runUntil(Loop &EventLoop, int MaxRounds, const std::function<bool()> &Done,
+              const std::function<void()> &Tick) {
+  for (int I = 0; I < MaxRounds && !Done(); ++I) {
+    EventLoop.resume();
+    EventLoop.run([&] {
+      Tick();
+      EventLoop.stop();
+      return core::Duration(1);
+    });
+  }
+  EXPECT_TRUE(Done());
 }
 
 // A process of entry VM "a", with links in place of VM "b", which leads.
@@ -85,18 +90,12 @@
   }
   void runUntil(const std::function<bool()> &Done) {
     constexpr int MaxRounds = 20000;
-    for (int I = 0; I < MaxRounds && !Done(); ++I) {
-      m_Loop.resume();
-      m_Loop.run([&] {
-        m_Leader.maintain(m_Loop.now());
-        m_Leader.sendHeartbeat(
-            A, {.m_From = B, .m_Leader = B, .m_Term = 1, .m_HoldsLease = true});
-        (void)m_Node.tick();
-        m_Loop.stop();
-        return core::Duration(1);
-      });
-    }
-    EXPECT_TRUE(Done());
+    ::runUntil(m_Loop, MaxRounds, Done, [this] {
+      m_Leader.maintain(m_Loop.now());
+      m_Leader.sendHeartbeat(
+          A, {.m_From = B, .m_Leader = B, .m_Term = 1, .m_HoldsLease = true});
+      (void)m_Node.tick();
+    });
   }
 
   Loop &m_Loop;
@@ -133,17 +132,11 @@
   }
   void runUntil(const std::function<bool()> &Done) {
     constexpr int MaxRounds = 5000;
-    for (int I = 0; I < MaxRounds && !Done(); ++I) {
-      m_Loop.resume();
-      m_Loop.run([&] {
-        m_Entry.maintain(m_Loop.now());
-        (void)m_Node.tick();
-        m_Loop.stop();
-        return core::Duration(1);
-      });
+    ::runUntil(m_Loop, MaxRounds, Done, [this] {
+      m_Entry.maintain(m_Loop.now());
+      (void)m_Node.tick();
       usleep(1000);
-    }
-    EXPECT_TRUE(Done());
+    });
   }
 
 private:
