Evacuate failure domains

Operators announce that a failure domain is taken away; the call was answered 404 and never acknowledged. The evacuated domains are now an aggregate in the replicated state. Passes, reservations and guarantees leave out their targets, no start is ordered there by the applied state, and runs that were assigned but have not started are withdrawn, gangs as a whole. Requests name the revision that they replace, so that a repeated one does not undo a later one.

PUT and DELETE /v1/evacuations/DOMAIN, GET /v1/evacuations, fireflydriftctl evacuate and evacuations, FD2018, FD4014, FD4015, two metrics. The platform's calls are translated to the same operations.

--- a/packages/control/command.h
+++ b/packages/control/command.h
@@ -4,6 +4,7 @@
 #define FIREFLYDRIFT_CONTROL_COMMAND_H
 
 #include "configuration/configuration.h"
+#include "evacuation/evacuation.h"
 #include "job/job.h"
 #include "placement/decision.h"
 #include "target/target.h"
@@ -134,12 +135,19 @@
                          const ReplaceConfiguration &) = default;
 };
 
+// Evacuates a failure domain or ends its evacuation.
+struct SetEvacuation {
+  evacuation::Change m_Change;
+  friend bool operator==(const SetEvacuation &,
+                         const SetEvacuation &) = default;
+};
+
 using Command =
     std::variant<AcceptJob, CancelJob, ChangeConfiguration, AnnounceTarget,
                  MarkTargetLeaving, MarkTargetLost, PlaceJob, StartJob,
                  AbortAttempt, ReclaimCapacity, ConfirmStopped, FinishTask,
                  RejectJob, ExpireJobs, AcceptWorkflow, CancelWorkflow,
-                 AssignTasks, EndRun, ReplaceConfiguration>;
+                 AssignTasks, EndRun, ReplaceConfiguration, SetEvacuation>;
 
 // The commands of one log entry, and the leader's time when it proposed them.
 struct Batch {
--- a/packages/control/dispatcher.cpp
+++ b/packages/control/dispatcher.cpp
@@ -162,6 +162,37 @@
   return Now - *Progress.m_LostSince >= Options.m_Lease;
 }
 
+// True in the reserve stage. In the start stage, true only when no earlier
+// leader may have sent start calls, and each of this leader's was refused or
+// never sent.
+static bool isCertainlyNotStarted(const JobCalls &Calls) {
+  if (Calls.m_Verb == Verb::Reserve)
+    return true;
+  return !Calls.m_FromEarlierLeader &&
+         std::none_of(Calls.m_Calls.begin(), Calls.m_Calls.end(),
+                      [](const auto &Each) {
+                        const CallProgress &Value = Each.second;
+                        return Value.m_Done || Value.m_InFlight ||
+                               Value.m_MayHaveArrived;
+                      });
+}
+
+static void proposeAbort(const core::JobKey &Key, JobCalls &Calls,
+                         DispatchStep &Out) {
+  proposeOnce(Calls, Out,
+              AbortAttempt{.m_Job = Key,
+                           .m_Attempt = Calls.m_Attempt,
+                           .m_MayHaveRun = !isCertainlyNotStarted(Calls)});
+}
+
+// True when a start call must not be sent or repeated, because the target's
+// failure domain is evacuated.
+static bool isStartForbidden(const State &Current, const JobCalls &Calls,
+                             const core::TargetId &Id) {
+  const placement::TargetUsage *Usage = Current.m_Indexes.m_Fleet.find(Id);
+  return Calls.m_Verb == Verb::Start && Usage && Usage->m_Evacuated;
+}
+
 DispatchStep sendDueCalls(Dispatcher Before, const State &Current,
                           const DispatchOptions &Options, core::Time Now) {
   DispatchStep Out;
@@ -179,6 +210,10 @@
                  Before.m_InFlight < Options.m_MaxInFlight;
       if (!Due)
         continue;
+      if (isStartForbidden(Current, Calls, Id)) {
+        proposeAbort(Key, Calls, Out);
+        continue;
+      }
       Progress.m_InFlight = true;
       ++Progress.m_Tries;
       ++Before.m_InFlight;
@@ -214,29 +249,6 @@
                                 Options.m_MaxRetryDelay, Tries - 1);
 }
 
-// True in the reserve stage. In the start stage, true only when no earlier
-// leader may have sent start calls, and each of this leader's was refused or
-// never sent.
-static bool isCertainlyNotStarted(const JobCalls &Calls) {
-  if (Calls.m_Verb == Verb::Reserve)
-    return true;
-  return !Calls.m_FromEarlierLeader &&
-         std::none_of(Calls.m_Calls.begin(), Calls.m_Calls.end(),
-                      [](const auto &Each) {
-                        const CallProgress &Value = Each.second;
-                        return Value.m_Done || Value.m_InFlight ||
-                               Value.m_MayHaveArrived;
-                      });
-}
-
-static void proposeAbort(const core::JobKey &Key, JobCalls &Calls,
-                         DispatchStep &Out) {
-  proposeOnce(Calls, Out,
-              AbortAttempt{.m_Job = Key,
-                           .m_Attempt = Calls.m_Attempt,
-                           .m_MayHaveRun = !isCertainlyNotStarted(Calls)});
-}
-
 static void applyReply(const core::JobKey &Key, JobCalls &Calls,
                        CallProgress &Progress, const CallReply &Reply,
                        const DispatchOptions &Options, core::Time Now,
--- a/packages/control/operation.cpp
+++ b/packages/control/operation.cpp
@@ -44,6 +44,10 @@
   for (const auto &[Key, Value] : Current.m_Tables.m_Jobs)
     ++View.m_JobsByOutcome[job::outcomeName(Value.phase())];
   countTargets(Current, Now, View);
+  for (const auto &[Domain, Each] :
+       Current.m_Tables.m_Evacuations.fields().m_Domains)
+    if (Each.m_Evacuated)
+      View.m_EvacuatedDomains.push_back(Domain);
   View.m_FreeAccelerators = Current.m_Indexes.m_Fleet.freeAccelerators();
   auto Name = [](const placement::GuaranteeKey &Key) {
     return Key.m_Workspace.text() + "/" + Key.m_Name;
@@ -360,6 +364,36 @@
   return propose(ReplaceConfiguration{.m_Replacement = Value.m_Replacement});
 }
 
+// ---- Evacuations -----------------------------------------------------------
+
+bool hasTargetsIn(const State &Current, const std::string &FailureDomain) {
+  const Tables &Stored = Current.m_Tables;
+  return Stored.m_Evacuations.revisionOf(FailureDomain) != 0 ||
+         std::any_of(Stored.m_Targets.begin(), Stored.m_Targets.end(),
+                     [&](const auto &Each) {
+                       return Each.second.announcement().m_FailureDomain ==
+                              FailureDomain;
+                     });
+}
+
+static EvacuationsView viewOf(const evacuation::Evacuations &Value) {
+  return {.m_Domains = Value.fields().m_Domains};
+}
+
+static HandleResult handleOne(const Context &C, const ReadEvacuations &) {
+  return replyNow(viewOf(C.m_State.m_Tables.m_Evacuations));
+}
+
+static HandleResult handleOne(const Context &C, const ChangeEvacuation &Value) {
+  const evacuation::Evacuations &Known = C.m_State.m_Tables.m_Evacuations;
+  auto Next = evacuation::applyChange(Known, Value.m_Change, C.m_Now);
+  if (!Next)
+    return replyNow(Failure{.m_Reason = Next.reason()});
+  if (*Next == Known)
+    return replyNow(viewOf(Known));
+  return propose(SetEvacuation{.m_Change = Value.m_Change});
+}
+
 HandleResult handle(const State &Current, const Operation &Value,
                     const placement::GuaranteeReservations &Reservations,
                     core::Time Now) {
@@ -405,6 +439,8 @@
   if (const auto *Typed = std::get_if<Configure>(&Value))
     return configurationView(Current.m_Tables.m_Configuration,
                              Typed->m_Proposal.m_Operation);
+  if (std::holds_alternative<ChangeEvacuation>(Value))
+    return viewOf(Current.m_Tables.m_Evacuations);
   return Acknowledged{};
 }
 
--- a/packages/control/operation.h
+++ b/packages/control/operation.h
@@ -102,10 +102,25 @@
                          const PutConfiguration &) = default;
 };
 
+struct ReadEvacuations {
+  friend bool operator==(const ReadEvacuations &,
+                         const ReadEvacuations &) = default;
+};
+// Evacuates a failure domain or ends its evacuation; the command is
+// SetEvacuation.
+struct ChangeEvacuation {
+  evacuation::Change m_Change;
+  // Whether the domain may be one in which the leader knows no target.
+  bool m_AllowUnknown = false;
+  friend bool operator==(const ChangeEvacuation &,
+                         const ChangeEvacuation &) = default;
+};
+
 using Operation =
     std::variant<Submit, Fetch, Cancel, Explain, Configure, ReadConfiguration,
                  ReadStatus, Announce, ReportResults, Leave, SubmitWorkflow,
-                 FetchWorkflow, CancelWorkflowRequest, PutConfiguration>;
+                 FetchWorkflow, CancelWorkflowRequest, PutConfiguration,
+                 ReadEvacuations, ChangeEvacuation>;
 
 // ---- Replies ---------------------------------------------------------------
 
@@ -162,6 +177,8 @@
   // Whether each guaranteed shape could be assembled now.
   std::map<std::string, bool> m_Guarantees;
   std::vector<VmStatus> m_Vms;
+  // The failure domains that are evacuated now.
+  std::vector<std::string> m_EvacuatedDomains;
   friend bool operator==(const StatusView &, const StatusView &) = default;
 };
 // A workflow as shown to its caller.
@@ -177,6 +194,11 @@
   std::uint64_t m_Pending = 0;
   friend bool operator==(const QueueView &, const QueueView &) = default;
 };
+struct EvacuationsView {
+  std::map<std::string, evacuation::DomainRecord> m_Domains;
+  friend bool operator==(const EvacuationsView &,
+                         const EvacuationsView &) = default;
+};
 struct Acknowledged {
   friend bool operator==(const Acknowledged &, const Acknowledged &) = default;
 };
@@ -187,7 +209,7 @@
 
 using Reply =
     std::variant<Acknowledged, JobView, DecisionsView, ConfigurationView,
-                 StatusView, Failure, WorkflowView, QueueView>;
+                 StatusView, Failure, WorkflowView, QueueView, EvacuationsView>;
 
 // ---- Handling operations ----------------------------------------------------
 
@@ -210,6 +232,11 @@
                                     const Operation &Value,
                                     const core::Reason &Result);
 
+// True when the state holds a target of the failure domain that has announced
+// itself, or a record of the domain's evacuation.
+[[nodiscard]] bool hasTargetsIn(const State &Current,
+                                const std::string &FailureDomain);
+
 // The job's current state as shown to its caller.
 [[nodiscard]] JobView viewOf(const job::Job &Value);
 
--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -14,6 +14,7 @@
           .m_LeaderSince = Now,
           .m_LastPassAt = Now,
           .m_LastLossCheckAt = Now,
+          .m_LastWithdrawAt = Now,
           .m_LastForgottenAt = Now};
 }
 
@@ -194,6 +195,53 @@
     }
 }
 
+// ---- Evacuated failure domains
+// ------------------------------------------------
+
+static void withdraw(PollingStep &Out, const TaskKey &Key, std::uint32_t Run) {
+  auto [Known, Added] = Out.m_Polling.m_Preempted.try_emplace(Key, Run);
+  if (!Added && Known->second == Run)
+    return;
+  Known->second = Run;
+  Out.m_Withdrawn.push_back(Key);
+}
+
+// Withdraws the run, and those of its whole gang: a gang with a member that may
+// not start can't work.
+static void withdrawUnit(PollingStep &Out, const State &Current,
+                         const TaskKey &Key) {
+  const workflow::Workflow &Owner = *findWorkflow(Current, Key.m_Workflow);
+  std::uint32_t Run = Owner.find(Key.m_Step, Key.m_Index)->m_Run;
+  if (!Owner.spec().m_Steps[Key.m_Step].m_Gang)
+    return withdraw(Out, Key, Run);
+  const auto &Members = Owner.fields().m_Steps[Key.m_Step].m_Tasks;
+  for (std::uint32_t I = 0; I < Members.size(); ++I)
+    if (Members[I].m_Phase == workflow::TaskPhase::Assigned &&
+        Members[I].m_Run == Run)
+      withdraw(Out, {Key.m_Workflow, Key.m_Step, I}, Run);
+}
+
+// Withdraws the runs that were assigned to targets of evacuated domains and
+// have not started there.
+static void withdrawUnstartedRuns(PollingStep &Out, const State &Current,
+                                  const PollingOptions &Options,
+                                  core::Time Now) {
+  if (Current.m_Tables.m_Evacuations.empty() ||
+      Now - Out.m_Polling.m_LastWithdrawAt < Options.m_WithdrawInterval)
+    return;
+  Out.m_Polling.m_LastWithdrawAt = Now;
+  for (const auto &[Id, Tasks] : Current.m_Indexes.m_Assigned) {
+    const roster::Member *Known = Out.m_Polling.m_Roster.find(Id);
+    bool IsEvacuated = Known && Current.m_Tables.m_Evacuations.contains(
+                                    Known->m_LastReport.m_FailureDomain);
+    if (!IsEvacuated)
+      continue;
+    for (const TaskKey &Key : Tasks)
+      if (isUnreported(Current, *Known, Key, findTask(Current, Key)->m_Run))
+        withdrawUnit(Out, Current, Key);
+  }
+}
+
 // Bounds the memory that targets take which never report again.
 static void forgetSilentTargets(PollingState &Polling,
                                 const PollingOptions &Options, core::Time Now) {
@@ -234,6 +282,7 @@
                  const PollingOptions &Options, bool MayPass, core::Time Now) {
   PollingStep Out{.m_Polling = std::move(Before)};
   endLostRuns(Out, Current, Options, Now);
+  withdrawUnstartedRuns(Out, Current, Options, Now);
   forgetSilentTargets(Out.m_Polling, Options, Now);
   core::Duration Since = Now - Out.m_Polling.m_LastPassAt;
   bool Due = Out.m_Polling.m_PassNeeded ? Since >= Options.m_MinPassInterval
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -52,6 +52,8 @@
   // reported. Until then the leader takes its list of targets for incomplete.
   core::Duration m_FleetKnownAfter{1500};
   core::Duration m_LossCheckInterval{100};
+  // Interval between two looks for runs to withdraw from evacuated domains.
+  core::Duration m_WithdrawInterval{100};
   // Interval between removals of targets that have been silent for too long.
   core::Duration m_ForgetInterval{5000};
   // An assigned run that is missing from the reports counts as never started
@@ -89,7 +91,7 @@
   roster::Roster m_Roster;
   roster::Health m_Health;
   // Numbers of the runs that are being stopped because they were preempted,
-  // stalled or never started.
+  // stalled, never started, or withdrawn from an evacuated failure domain.
   std::map<workflow::TaskKey, std::uint32_t> m_Preempted;
   // The highest run of each task whose end was proposed and is not durable yet.
   std::map<workflow::TaskKey, std::uint32_t> m_ProposedEnds;
@@ -100,6 +102,7 @@
   bool m_PassNeeded = true;
   core::Time m_LastPassAt;
   core::Time m_LastLossCheckAt;
+  core::Time m_LastWithdrawAt;
   core::Time m_LastForgottenAt;
 
   friend bool operator==(const PollingState &, const PollingState &) = default;
@@ -116,6 +119,9 @@
   std::vector<assignment::Preemption> m_Preemptions;
   // Runs that are stopped because they make no progress.
   std::vector<roster::RunningTask> m_Stalled;
+  // Runs that are withdrawn because they, or another member of their gang, have
+  // not started in a failure domain that is evacuated.
+  std::vector<workflow::TaskKey> m_Withdrawn;
 
   friend bool operator==(const PollingStep &, const PollingStep &) = default;
 };
--- a/packages/control/runs.cpp
+++ b/packages/control/runs.cpp
@@ -59,11 +59,17 @@
          std::none_of(Ended.begin(), Ended.end(), IsSameRun);
 }
 
+bool isClosed(const State &Current, const roster::Member &Target) {
+  const roster::Report &Last = Target.m_LastReport;
+  return Last.m_Draining ||
+         Current.m_Tables.m_Evacuations.contains(Last.m_FailureDomain);
+}
+
 bool isUnreportedAndStopped(const PollingState &Polling, const State &Current,
                             const roster::Member &Target, const TaskKey &Key,
                             const workflow::Task &Value) {
   bool ShouldRun = shouldRun(Polling, Current, Key, Value.m_Run) &&
-                   !Target.m_LastReport.m_Draining;
+                   !isClosed(Current, Target);
   return !ShouldRun && isUnreported(Current, Target, Key, Value.m_Run);
 }
 
--- a/packages/control/state.cpp
+++ b/packages/control/state.cpp
@@ -61,6 +61,8 @@
 
 State restore(Tables Stored) {
   State Restored;
+  Restored.m_Indexes.m_Fleet = std::move(Restored.m_Indexes.m_Fleet)
+                                   .withEvacuations(Stored.m_Evacuations);
   for (const auto &[Id, Value] : Stored.m_Targets)
     Restored.m_Indexes.m_Fleet =
         std::move(Restored.m_Indexes.m_Fleet).withTarget(Value);
@@ -243,8 +245,21 @@
   return setPresence(W, Value.m_Target, target::Presence::Lost);
 }
 
+// True when new work must not start on the target, because its failure domain
+// is evacuated.
+static bool isEvacuated(const ApplyContext &W, const core::TargetId &Id) {
+  const placement::TargetUsage *Found =
+      W.m_Result.m_State.m_Indexes.m_Fleet.find(Id);
+  return Found && Found->m_Evacuated;
+}
+
 static core::Reason applyOne(ApplyContext &W, const PlaceJob &Value) {
   const placement::Decision &Decision = Value.m_Decision;
+  // The decision may have been made before the evacuation was applied.
+  for (const core::TargetId &Each : Decision.m_Targets)
+    if (isEvacuated(W, Each))
+      return {core::ReasonCode::Conflict, "targets",
+              "a failure domain is evacuated"};
   core::Reason Reason =
       changeJob(W, Decision.m_Job,
                 job::Place{.m_FencingToken = W.tables().m_NextFence,
@@ -257,6 +272,16 @@
 }
 
 static core::Reason applyOne(ApplyContext &W, const StartJob &Value) {
+  const job::Job *Found = findJob(W.m_Result.m_State, Value.m_Job);
+  bool MayStart = !Found || std::none_of(Found->fields().m_Members.begin(),
+                                         Found->fields().m_Members.end(),
+                                         [&](const job::GangMember &Each) {
+                                           return isEvacuated(W, Each.m_Target);
+                                         });
+  // Nothing has been started yet, so the job is placed again elsewhere.
+  if (!MayStart)
+    return changeAttempt(W, Value.m_Job, Value.m_Attempt,
+                         job::StartRefused{.m_MayHaveRun = false});
   return changeAttempt(W, Value.m_Job, Value.m_Attempt, job::Start{});
 }
 
@@ -344,6 +369,22 @@
   return {};
 }
 
+static core::Reason applyOne(ApplyContext &W, const SetEvacuation &Value) {
+  evacuation::Evacuations &Known = W.tables().m_Evacuations;
+  auto Next = evacuation::applyChange(Known, Value.m_Change, W.now());
+  if (!Next)
+    return Next.reason();
+  if (*Next == Known)
+    return {};
+  Known = *std::move(Next);
+  W.indexes().m_Fleet = std::move(W.indexes().m_Fleet).withEvacuations(Known);
+  W.m_Result.m_FleetChanged = true;
+  W.m_Result.m_EvacuationChanges.push_back(
+      {.m_FailureDomain = Value.m_Change.m_FailureDomain,
+       .m_Evacuated = Value.m_Change.m_Evacuated});
+  return {};
+}
+
 ApplyResult apply(State Current, const Batch &Value) {
   ApplyContext W{.m_Result = {.m_State = std::move(Current)}};
   // The clocks of successive leaders differ, but the state's time must not
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -28,6 +28,7 @@
   std::map<core::JobKey, std::vector<placement::Decision>> m_Decisions;
   placement::Estimates m_Estimates;
   std::map<core::RequestId, workflow::Workflow> m_Workflows;
+  evacuation::Evacuations m_Evacuations;
   std::uint64_t m_NextFence = 1;
   // Time of the newest applied batch; never decreases.
   core::Time m_LastBatchAt;
@@ -109,6 +110,15 @@
                          const WorkflowChange &) = default;
 };
 
+// A failure domain that was evacuated, or whose evacuation was ended.
+struct EvacuationChange {
+  std::string m_FailureDomain;
+  bool m_Evacuated = false;
+
+  friend bool operator==(const EvacuationChange &,
+                         const EvacuationChange &) = default;
+};
+
 struct ApplyResult {
   State m_State;
   // The result of each command: code None if it took effect or had already
@@ -117,8 +127,9 @@
   std::vector<JobChange> m_JobChanges;
   std::vector<TargetChange> m_TargetChanges;
   std::vector<WorkflowChange> m_WorkflowChanges;
-  // True when targets or the configuration changed, so that guarantee
-  // reservations must be recomputed.
+  std::vector<EvacuationChange> m_EvacuationChanges;
+  // True when targets, evacuations or the configuration changed, so that
+  // guarantee reservations must be recomputed.
   bool m_FleetChanged = false;
 
   friend bool operator==(const ApplyResult &, const ApplyResult &) = default;
--- a/packages/control/view.cpp
+++ b/packages/control/view.cpp
@@ -193,7 +193,8 @@
   if (Out.m_PendingSteps.empty())
     return Out;
   for (const auto &[Id, Each] : Polling.m_Roster.members())
-    if (Polling.m_Roster.isSchedulable(Each, Options.m_Roster, Now))
+    if (Polling.m_Roster.isSchedulable(Each, Options.m_Roster, Now) &&
+        !isClosed(Current, Each))
       Out.m_Targets.push_back(targetInfoOf(Polling, Current, Each, Reserved,
                                            Options.m_Health, Now));
   return Out;
--- a/packages/fireflydriftctl/main.cpp
+++ b/packages/fireflydriftctl/main.cpp
@@ -30,6 +30,9 @@
     "  explain WORKSPACE ID   print how the job was placed, or why it waits\n"
     "  configure FILE         replace the configuration by the one in FILE\n"
     "  configuration          print the configuration in force\n"
+    "  evacuate DOMAIN        start nothing new in the failure domain; with\n"
+    "                         --end, allow it again\n"
+    "  evacuations            print the evacuated failure domains\n"
     "  status                 print the state of the system\n"
     "  replay FILE            replay a recorded trace, check its expectations\n"
     "  trace ID [LOG...]      print a request's timeline from logs, its cause\n"
@@ -47,6 +50,7 @@
   std::string m_Token;
   long m_WaitMs = 0;
   long m_SeedCount = 1;
+  bool m_EndEvacuation = false;
   std::vector<std::string> m_Positional;
 };
 
@@ -96,6 +100,7 @@
                                         Arguments &Args) {
   char *Server = nullptr;
   char *TokenFile = nullptr;
+  int EndEvacuation = 0;
   int Version = 0;
   const poptOption Options[] = {
       {"server", 's', POPT_ARG_STRING, &Server, 0,
@@ -106,6 +111,8 @@
        "With get: how long to wait for the job to finish", "MILLISECONDS"},
       {"seeds", 'n', POPT_ARG_LONG, &Args.m_SeedCount, 0,
        "With experiment: number of consecutive seeds", "COUNT"},
+      {"end", 'e', POPT_ARG_NONE, &EndEvacuation, 0,
+       "With evacuate: end the evacuation", nullptr},
       {"version", 'V', POPT_ARG_NONE, &Version, 0, "Print the version",
        nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -119,6 +126,7 @@
                                           ": " + poptStrerror(Result)
                                     : std::string();
   poptFreeContext(Context);
+  Args.m_EndEvacuation = EndEvacuation != 0;
   std::string ServerText = Server ? Server : "";
   std::string TokenFilePath = TokenFile ? TokenFile : "";
   std::free(Server);
@@ -249,6 +257,11 @@
     return sendRequest(Args, "GET", "/v1/status", "");
   if (Matches("configuration", 1))
     return sendRequest(Args, "GET", "/v1/configuration", "");
+  if (Matches("evacuations", 1))
+    return sendRequest(Args, "GET", "/v1/evacuations", "");
+  if (Matches("evacuate", 2))
+    return sendRequest(Args, Args.m_EndEvacuation ? "DELETE" : "PUT",
+                       "/v1/evacuations/" + Positional[1], "");
   if (Matches("submit", 2))
     return sendFile(Args, "POST", "/v1/jobs", Positional[1]);
   if (Matches("experiment", 2))
--- a/packages/messages/archive.h
+++ b/packages/messages/archive.h
@@ -71,6 +71,20 @@
 
 } // namespace fireflydrift::workspace
 
+namespace fireflydrift::evacuation {
+
+template <class A> void serialize(A &Ar, DomainRecord &V) {
+  Ar(V.m_Evacuated, V.m_ChangedAt, V.m_Revision);
+}
+template <class A> void serialize(A &Ar, Change &V) {
+  Ar(V.m_FailureDomain, V.m_Evacuated, V.m_ReplacesRevision);
+}
+template <class A> void serialize(A &Ar, EvacuationFields &V) {
+  Ar(V.m_LastRevision, V.m_Domains);
+}
+
+} // namespace fireflydrift::evacuation
+
 namespace fireflydrift::configuration {
 
 template <class A> void serialize(A &Ar, Limits &V) {
@@ -234,6 +248,7 @@
 template <class A> void serialize(A &Ar, ReplaceConfiguration &V) {
   Ar(V.m_Replacement);
 }
+template <class A> void serialize(A &Ar, SetEvacuation &V) { Ar(V.m_Change); }
 template <class A> void serialize(A &Ar, Batch &V) { Ar(V.m_At, V.m_Commands); }
 
 template <class A> void serialize(A &Ar, Submit &V) { Ar(V.m_Spec); }
@@ -268,6 +283,14 @@
   Ar(V.m_Replacement);
 }
 
+template <class A> void serialize(A &, ReadEvacuations &) {}
+template <class A> void serialize(A &Ar, ChangeEvacuation &V) {
+  Ar(V.m_Change, V.m_AllowUnknown);
+}
+
+template <class A> void serialize(A &Ar, EvacuationsView &V) {
+  Ar(V.m_Domains);
+}
 template <class A> void serialize(A &Ar, WorkflowView &V) {
   Ar(V.m_Id, V.m_Phase, V.m_Started);
 }
@@ -288,10 +311,22 @@
   Ar(V.m_Vm, V.m_Liveness, V.m_Role, V.m_ConfigurationVersion,
      V.m_EntriesBehind, V.m_BehindReason);
 }
-template <class A> void serialize(A &Ar, StatusView &V) {
+// Fields that were added at the end of a message are written only when they
+// have a value, and read only when the message goes on. Earlier versions thus
+// understand the message while the feature is not in use.
+template <class A> void save(A &Ar, const StatusView &V) {
   Ar(V.m_Leader, V.m_Term, V.m_Commit, V.m_ConfigurationVersion,
      V.m_JobsByOutcome, V.m_ActiveTargets, V.m_QuarantinedTargets,
      V.m_LostTargets, V.m_FreeAccelerators, V.m_Guarantees, V.m_Vms);
+  if (!V.m_EvacuatedDomains.empty())
+    Ar(V.m_EvacuatedDomains);
+}
+template <class A> void load(A &Ar, StatusView &V) {
+  Ar(V.m_Leader, V.m_Term, V.m_Commit, V.m_ConfigurationVersion,
+     V.m_JobsByOutcome, V.m_ActiveTargets, V.m_QuarantinedTargets,
+     V.m_LostTargets, V.m_FreeAccelerators, V.m_Guarantees, V.m_Vms);
+  if (Ar.bytesLeft() > 0)
+    Ar(V.m_EvacuatedDomains);
 }
 
 template <class A> void save(A &Ar, const Tables &V) {
@@ -306,6 +341,8 @@
     Workflows.push_back(Value.fields());
   Ar(V.m_Configuration, Targets, Jobs, V.m_Decisions, V.m_Estimates, Workflows,
      V.m_NextFence, V.m_LastBatchAt);
+  if (V.m_Evacuations != evacuation::Evacuations())
+    Ar(V.m_Evacuations.fields());
 }
 template <class A> void load(A &Ar, Tables &V) {
   std::vector<target::TargetFields> Targets;
@@ -313,6 +350,11 @@
   std::vector<workflow::WorkflowFields> Workflows;
   Ar(V.m_Configuration, Targets, Jobs, V.m_Decisions, V.m_Estimates, Workflows,
      V.m_NextFence, V.m_LastBatchAt);
+  if (Ar.bytesLeft() > 0) {
+    evacuation::EvacuationFields Evacuations;
+    Ar(Evacuations);
+    V.m_Evacuations = evacuation::Evacuations::restore(std::move(Evacuations));
+  }
   for (workflow::WorkflowFields &Fields : Workflows) {
     core::RequestId Id = Fields.m_Spec.m_Id;
     V.m_Workflows.emplace(std::move(Id),
--- a/packages/messages/bounded_archive.h
+++ b/packages/messages/bounded_archive.h
@@ -3,6 +3,7 @@
 #ifndef FIREFLYDRIFT_MESSAGES_BOUNDED_ARCHIVE_H
 #define FIREFLYDRIFT_MESSAGES_BOUNDED_ARCHIVE_H
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <istream>
 
@@ -22,9 +23,12 @@
   void loadBinary(void *Data, std::streamsize Bytes) {
     m_Archive.loadBinary<ElementBytes>(Data, Bytes);
   }
+  [[nodiscard]] std::uint64_t bytesLeft() const {
+    return static_cast<std::uint64_t>(
+        std::max<std::streamsize>(m_Stream.rdbuf()->in_avail(), 0));
+  }
   void checkSize(std::uint64_t Size) const {
-    auto Left = static_cast<std::uint64_t>(m_Stream.rdbuf()->in_avail());
-    if (Size > Left)
+    if (Size > bytesLeft())
       throw cereal::Exception("declares more elements than there are bytes");
   }
 
--- a/packages/messages/json.cpp
+++ b/packages/messages/json.cpp
@@ -443,6 +443,7 @@
           {"lost_targets", Value.m_LostTargets},
           {"free_accelerators", Value.m_FreeAccelerators},
           {"guarantees", Value.m_Guarantees},
+          {"evacuated_domains", Value.m_EvacuatedDomains},
           {"vms", std::move(Vms)}};
 }
 
@@ -456,6 +457,15 @@
   return Out;
 }
 
+static Json toJson(const control::EvacuationsView &Value) {
+  Json Domains = Json::object();
+  for (const auto &[Domain, Each] : Value.m_Domains)
+    Domains[Domain] = {{"evacuated", Each.m_Evacuated},
+                       {"changed_at_ms", core::toMs(Each.m_ChangedAt)},
+                       {"revision", Each.m_Revision}};
+  return {{"outcome", "evacuations"}, {"failure_domains", std::move(Domains)}};
+}
+
 static Json toJson(const control::WorkflowView &Value) {
   return {{"outcome", workflow::toString(Value.m_Phase)},
           {"id", Value.m_Id.text()},
--- a/packages/placement/candidates.cpp
+++ b/packages/placement/candidates.cpp
@@ -14,6 +14,8 @@
     return "leaving";
   if (Target.presence() == target::Presence::Lost)
     return "lost";
+  if (Value.m_Evacuated)
+    return "evacuated";
   if (Target.isQuarantined(Now))
     return "quarantined";
   if (Context.m_Unresponsive.contains(Target.id()))
--- a/packages/placement/fleet.cpp
+++ b/packages/placement/fleet.cpp
@@ -35,17 +35,26 @@
 std::int64_t Fleet::freeAccelerators() const noexcept {
   std::int64_t Free = 0;
   for (const auto &[Id, Value] : m_Targets)
-    if (Value.m_Target.presence() == target::Presence::Active)
+    if (Value.m_Target.presence() == target::Presence::Active &&
+        !Value.m_Evacuated)
       Free += std::max<std::int64_t>(Value.free().m_Accelerators, 0);
   return Free;
 }
 
 Fleet Fleet::withTarget(const target::Target &Value) && {
-  auto Found = m_Targets.find(Value.id());
-  if (Found == m_Targets.end())
-    m_Targets.emplace(Value.id(), TargetUsage{.m_Target = Value});
-  else
-    Found->second.m_Target = Value;
+  auto Found =
+      m_Targets.try_emplace(Value.id(), TargetUsage{.m_Target = Value}).first;
+  Found->second.m_Target = Value;
+  Found->second.m_Evacuated =
+      m_Evacuations.contains(Value.announcement().m_FailureDomain);
+  return std::move(*this);
+}
+
+Fleet Fleet::withEvacuations(evacuation::Evacuations Value) && {
+  m_Evacuations = std::move(Value);
+  for (auto &[Id, Each] : m_Targets)
+    Each.m_Evacuated =
+        m_Evacuations.contains(Each.m_Target.announcement().m_FailureDomain);
   return std::move(*this);
 }
 
--- a/packages/placement/fleet.h
+++ b/packages/placement/fleet.h
@@ -3,6 +3,7 @@
 #ifndef FIREFLYDRIFT_PLACEMENT_FLEET_H
 #define FIREFLYDRIFT_PLACEMENT_FLEET_H
 
+#include "evacuation/evacuation.h"
 #include "job/job.h"
 #include "target/target.h"
 
@@ -34,7 +35,13 @@
   target::Target m_Target;
   core::Capacity m_Used;
   std::vector<JobAllocation> m_Allocations;
+  // True while the target's failure domain is evacuated.
+  bool m_Evacuated = false;
 
+  // True when new work may be placed here.
+  [[nodiscard]] bool isSchedulable(core::Time Now) const noexcept {
+    return !m_Evacuated && m_Target.isSchedulable(Now);
+  }
   [[nodiscard]] core::Capacity free() const noexcept {
     return m_Target.announcement().m_Capacity - m_Used;
   }
@@ -56,12 +63,14 @@
   // again.
   [[nodiscard]] std::int64_t
   usedNonReclaimable(const core::WorkspaceId &Id) const;
-  // Accelerators free on active targets.
+  // Accelerators free on active targets outside of evacuated failure domains.
   [[nodiscard]] std::int64_t freeAccelerators() const noexcept;
 
   // These return the changed fleet and consume this one to avoid a copy.
   [[nodiscard]] Fleet withTarget(const target::Target &Value) &&;
   [[nodiscard]] Fleet withoutTarget(const core::TargetId &Id) &&;
+  // With the given failure domains evacuated, and no others.
+  [[nodiscard]] Fleet withEvacuations(evacuation::Evacuations Value) &&;
   // With the job's gang allocated; it is expected to end at ExpectedEnd.
   [[nodiscard]] Fleet withAllocated(const job::Job &Value,
                                     core::Time ExpectedEnd) &&;
@@ -72,6 +81,7 @@
 
 private:
   std::map<core::TargetId, TargetUsage> m_Targets;
+  evacuation::Evacuations m_Evacuations;
   std::map<core::WorkspaceId, std::int64_t> m_Used;
   std::map<core::WorkspaceId, std::int64_t> m_UsedNonReclaimable;
 };
--- a/packages/placement/guarantee_reservation.cpp
+++ b/packages/placement/guarantee_reservation.cpp
@@ -78,7 +78,7 @@
   std::uint32_t Total = 0;
   for (const auto &[Id, Tasks] : Value.m_Tasks) {
     const TargetUsage *Found = CurrentFleet.find(Id);
-    bool IsValid = Found && Found->m_Target.isSchedulable(Now) &&
+    bool IsValid = Found && Found->isSchedulable(Now) &&
                    Request.m_Guarantee->m_Selector.matches(
                        Found->m_Target.announcement().m_Labels) &&
                    availableOn(*Found, Request, Reserved, Now)
@@ -137,7 +137,7 @@
     while (ReservedHere != Reserved.end() && ReservedHere->first < Id)
       ++ReservedHere;
     const target::Announcement &Announced = Value.m_Target.announcement();
-    if (!Value.m_Target.isSchedulable(Now) ||
+    if (!Value.isSchedulable(Now) ||
         !Guarantee.m_Selector.matches(Announced.m_Labels))
       continue;
     core::Capacity Amount = reclaimable(Value, Request, Now);
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -95,10 +95,10 @@
 
 static const char *operationName(const control::Operation &Value) {
   static constexpr const char *Names[] = {
-      "submit",          "fetch",  "cancel",          "explain",
-      "configure",       "read",   "status",          "announce",
-      "report",          "leave",  "submit_workflow", "fetch_workflow",
-      "cancel_workflow", "replace"};
+      "submit",          "fetch",   "cancel",           "explain",
+      "configure",       "read",    "status",           "announce",
+      "report",          "leave",   "submit_workflow",  "fetch_workflow",
+      "cancel_workflow", "replace", "read_evacuations", "change_evacuation"};
   static_assert(std::size(Names) == std::variant_size_v<control::Operation>);
   return Names[Value.index()];
 }
@@ -126,6 +126,8 @@
     return Typed->m_Call.m_Path;
   if (const auto *Typed = std::get_if<control::CancelWorkflowRequest>(&Value))
     return Typed->m_Call.m_Path;
+  if (const auto *Typed = std::get_if<control::ChangeEvacuation>(&Value))
+    return Typed->m_Change.m_FailureDomain;
   if (const auto *Typed = std::get_if<control::PutConfiguration>(&Value))
     return "version " + std::to_string(Typed->m_Replacement.m_Version);
   return {};
--- a/packages/runtime/events.cpp
+++ b/packages/runtime/events.cpp
@@ -48,6 +48,7 @@
       {Event::RunEnded, Severity::Info, "run_ended"},
       {Event::RunPreempted, Severity::Info, "run_displaced"},
       {Event::RunStalled, Severity::Info, "run_stalled"},
+      {Event::RunWithdrawn, Severity::Info, "run_withdrawn"},
       {Event::TargetAnnounced, Severity::Info, "target_announced"},
       {Event::TargetLost, Severity::Warning, "target_lost"},
       {Event::TargetLeaving, Severity::Info, "target_leaving"},
@@ -69,6 +70,8 @@
       {Event::MessageRefused, Severity::Warning, "message_refused"},
       {Event::ReplicasChanged, Severity::Info, "replicas_changed"},
       {Event::DiskRecovered, Severity::Info, "disk_recovered"},
+      {Event::DomainEvacuated, Severity::Info, "domain_evacuated"},
+      {Event::DomainReopened, Severity::Info, "domain_reopened"},
   };
   return Events;
 }
--- a/packages/runtime/events.h
+++ b/packages/runtime/events.h
@@ -38,6 +38,7 @@
   RunEnded = 2015,
   RunPreempted = 2016,
   RunStalled = 2017,
+  RunWithdrawn = 2018,
   TargetAnnounced = 3001,
   TargetLost = 3002,
   TargetLeaving = 3003,
@@ -59,6 +60,8 @@
   MessageRefused = 4011,
   ReplicasChanged = 4012,
   DiskRecovered = 4013,
+  DomainEvacuated = 4014,
+  DomainReopened = 4015,
 };
 
 enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
--- a/packages/runtime/http_api.cpp
+++ b/packages/runtime/http_api.cpp
@@ -1,6 +1,7 @@
 #include "runtime/http_api.h"
 
 #include "messages/json.h"
+#include "runtime/evacuation_request.h"
 #include "runtime/events.h"
 
 #include <charconv>
@@ -115,6 +116,8 @@
     return handleJobs(Context);
   if (Parts[1] == "configuration" && Parts.size() == 2)
     return handleConfiguration(Context);
+  if (Parts[1] == "evacuations")
+    return handleEvacuations(Context);
   if (Parts[1] == "targets")
     return handleTargets(Context);
   reject(Context, notFound());
@@ -211,6 +214,27 @@
                   core::WorkspaceId());
 }
 
+// ---- Evacuations -----------------------------------------------------------
+
+void HttpApi::handleEvacuations(const RequestContext &Context) {
+  const auto &Parts = Context.m_Parts;
+  const std::string &Method = Context.m_Request.m_Method;
+  if (Method == "GET" && Parts.size() == 2)
+    return submitOperation(Context, control::ReadEvacuations{},
+                           core::WorkspaceId());
+  if (Parts.size() != 3 || (Method != "PUT" && Method != "DELETE"))
+    return reject(Context, notFound());
+  if (!m_Tokens.isOperator(Context.m_Request.m_Token))
+    return reject(Context, unauthorized());
+  if (!Context.m_Request.m_Body.empty())
+    return reject(Context,
+                  {core::ReasonCode::InvalidInput, "body", "must be empty"});
+  Responder Respond = Context.m_Respond;
+  requestEvacuation(
+      m_Node, {.m_FailureDomain = Parts[2], .m_Evacuate = Method == "PUT"},
+      [Respond](const control::Reply &Reply) { Respond(toResponse(Reply)); });
+}
+
 // ---- Targets ---------------------------------------------------------------
 
 void HttpApi::announce(const RequestContext &Context) {
--- a/packages/runtime/http_api.h
+++ b/packages/runtime/http_api.h
@@ -27,6 +27,7 @@
   void handleJobs(const RequestContext &Context);
   void handleTargets(const RequestContext &Context);
   void handleConfiguration(const RequestContext &Context);
+  void handleEvacuations(const RequestContext &Context);
   void submitJob(const RequestContext &Context);
   void report(const RequestContext &Context);
   void announce(const RequestContext &Context);
--- a/packages/runtime/leader_driver.cpp
+++ b/packages/runtime/leader_driver.cpp
@@ -91,6 +91,22 @@
   return true;
 }
 
+core::Reason LeaderDriver::checkDomain(const control::Operation &Value,
+                                       const control::State &State) const {
+  const auto *Typed = std::get_if<control::ChangeEvacuation>(&Value);
+  if (!Typed || Typed->m_AllowUnknown)
+    return {};
+  const std::string &Domain = Typed->m_Change.m_FailureDomain;
+  // An invalid name is refused by the aggregate, with its own reason.
+  bool IsKnown = !core::isValidId(Domain) ||
+                 control::hasTargetsIn(State, Domain) ||
+                 m_Polling.hasTargetsIn(Domain);
+  if (IsKnown)
+    return {};
+  return {core::ReasonCode::NotFound, "failure_domain",
+          "no target of this failure domain is known"};
+}
+
 void LeaderDriver::decide(const Origin &From, const control::Operation &Value,
                           const control::State &State, core::Time Now) {
   if (!m_Leader)
@@ -98,6 +114,10 @@
   m_Counters.add("fireflydrift_operations_total");
   if (waitForOutcome(From, Value, State, Now))
     return;
+  core::Reason Unknown = checkDomain(Value, State);
+  if (Unknown.m_Code != core::ReasonCode::None)
+    return m_Callbacks.m_Reply(
+        From, control::Failure{.m_Reason = std::move(Unknown)});
   control::HandleResult Next =
       control::handle(State, Value, m_Leader->m_Reservations, Now);
   if (Next.m_Reply) {
@@ -133,6 +153,12 @@
     m_WorkflowPassIndex = Index;
 }
 
+static void logEvacuations(const control::ApplyResult &Result) {
+  for (const control::EvacuationChange &Each : Result.m_EvacuationChanges)
+    logEvent(Each.m_Evacuated ? Event::DomainEvacuated : Event::DomainReopened,
+             {{"failure_domain", Each.m_FailureDomain}});
+}
+
 static void logTargetChanges(const control::ApplyResult &Result) {
   for (const control::TargetChange &Each : Result.m_TargetChanges) {
     Fields Details{{"target", Each.m_Target.text()}};
@@ -158,6 +184,7 @@
   recordStartLatency(Result, State);
   logJobChanges(Result, State);
   logTargetChanges(Result);
+  logEvacuations(Result);
   logWorkflows(Result, State);
   m_Polling.onApplied(Result, State);
   m_Leader = control::afterApplied(*std::move(m_Leader), State, Result, Now);
--- a/packages/runtime/leader_driver.h
+++ b/packages/runtime/leader_driver.h
@@ -103,6 +103,10 @@
                                     const control::Operation &Value,
                                     const control::State &State,
                                     core::Time Now);
+  // Why the operation concerns no failure domain that this leader knows; code
+  // None when it does, or concerns none at all.
+  [[nodiscard]] core::Reason checkDomain(const control::Operation &Value,
+                                         const control::State &State) const;
   void answerFetches(const control::ApplyResult &Result,
                      const control::State &State);
   void expireFetches(const control::State &State, core::Time Now);
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -191,6 +191,8 @@
     m_Counters.set("fireflydrift_journal_syncs_total",
                    m_Replica->journal().syncs());
     control::StatusView Status = control::statusOf(State, {}, Now);
+    m_Counters.set("fireflydrift_evacuated_domains",
+                   Status.m_EvacuatedDomains.size());
     for (const auto &[Outcome, Count] : Status.m_JobsByOutcome)
       m_Counters.set("fireflydrift_jobs", Count, "outcome=\"" + Outcome + "\"");
     m_Counters.set("fireflydrift_free_accelerators",
--- a/packages/runtime/polling_driver.cpp
+++ b/packages/runtime/polling_driver.cpp
@@ -11,6 +11,15 @@
     : m_Options(Options), m_Counters(Metrics),
       m_Callbacks(std::move(Callbacks)) {}
 
+bool PollingDriver::hasTargetsIn(const std::string &FailureDomain) const {
+  if (!m_Polling)
+    return false;
+  const auto &Members = m_Polling->m_Roster.members();
+  return std::any_of(Members.begin(), Members.end(), [&](const auto &Each) {
+    return Each.second.m_LastReport.m_FailureDomain == FailureDomain;
+  });
+}
+
 core::Duration PollingDriver::timeUntilDue(core::Time Now,
                                            core::Duration MaxWait) const {
   if (!m_Polling)
@@ -267,6 +276,11 @@
                                    {"for", Each.m_Preemptor.text()}});
   for (const assignment::Preemption &Each : Next.m_Preemptions)
     markAffected(State, Each.m_Task.m_Workflow);
+  for (const workflow::TaskKey &Each : Next.m_Withdrawn) {
+    logEvent(Event::RunWithdrawn, {{"task", workflow::toString(Each)}});
+    markAffected(State, Each.m_Workflow);
+  }
+  m_Counters.add("fireflydrift_runs_withdrawn_total", Next.m_Withdrawn.size());
   for (const control::Command &Each : Next.m_Commands)
     if (const auto *Assigned = std::get_if<control::AssignTasks>(&Each))
       logAssignment(*Assigned);
--- a/tests/runtime/http_api_test.cpp
+++ b/tests/runtime/http_api_test.cpp
@@ -204,3 +204,38 @@
   EXPECT_TRUE(contains(Outcome, R"("outcome":"not_run")")) << Outcome.m_Body;
   EXPECT_TRUE(contains(Outcome, "unplaceable")) << Outcome.m_Body;
 }
+
+TEST_F(HttpApiSingleVm, EvacuatesAndReopensAFailureDomain) {
+  EXPECT_EQ(request("POST", "/v1/targets",
+                    R"({"id":"t","host":"127.0.0.1","port":1,"incarnation":1,)"
+                    R"("region":"r","failure_domain":"east","rack":"k",)"
+                    R"("capacity":{"accelerators":1}})")
+                .m_Status,
+            200);
+  const std::string Path = "/v1/evacuations/east";
+  for (int Times = 0; Times < 2; ++Times) {
+    HttpResponse Response = request("PUT", Path);
+    EXPECT_EQ(Response.m_Status, 200) << Response.m_Body;
+    EXPECT_TRUE(contains(Response, R"("evacuated":true)"));
+  }
+  EXPECT_TRUE(contains(request("GET", "/v1/status"),
+                       R"("evacuated_domains":["east"])"));
+  start({});
+  EXPECT_TRUE(
+      contains(request("GET", "/v1/evacuations"), R"("evacuated":true)"));
+  EXPECT_EQ(request("DELETE", Path).m_Status, 200);
+  EXPECT_TRUE(
+      contains(request("GET", "/v1/evacuations"), R"("evacuated":false)"));
+}
+
+TEST_F(HttpApiSingleVm, RefusesInvalidEvacuations) {
+  EXPECT_EQ(request("PUT", "/v1/evacuations/nowhere").m_Status, 404);
+  EXPECT_EQ(request("PUT", "/v1/evacuations").m_Status, 404);
+  EXPECT_EQ(request("POST", "/v1/evacuations/east").m_Status, 404);
+  EXPECT_EQ(request("PUT", "/v1/evacuations/east", "{}").m_Status, 400);
+  EXPECT_EQ(request("PUT", "/v1/evacuations/" + std::string(200, 'a')).m_Status,
+            400);
+  EXPECT_EQ(request("PUT", "/v1/evacuations/a%20b").m_Status, 400);
+  EXPECT_TRUE(
+      contains(request("GET", "/v1/evacuations"), R"("failure_domains":{})"));
+}
