Stop runs while a departing target can still report their ends

Runs on a draining target are now stopped before its announced departure, by the time that a stop takes, and the target is asked to report then.

--- a/packages/control/orders.cpp
+++ b/packages/control/orders.cpp
@@ -107,6 +107,17 @@
                     core::Duration(1), Options.m_MaxReportInterval);
 }
 
+// Time until the runs on a draining target are stopped, so that its next report
+// arrives by then.
+static core::Duration timeUntilStops(const roster::Report &Last,
+                                     const PollingOptions &Options) {
+  if (!Last.m_Draining || !Last.m_Remaining)
+    return Options.m_MaxReportInterval;
+  core::Duration Left = *Last.m_Remaining - departureLead(Options);
+  bool StopsLater = Left > core::Duration::zero();
+  return StopsLater ? Left : Options.m_ReportInterval;
+}
+
 ReportResponse ordersFor(const PollingState &Current, const State &State,
                          const roster::Member &Target,
                          const PollingOptions &Options,
@@ -137,8 +148,9 @@
   if (!Target.m_Confirmed)
     Orders.m_ReportAfter = confirmationDelay(Options, Targets);
   else
-    Orders.m_ReportAfter =
-        Idle ? core::Duration(1) : reportInterval(Options, Targets);
+    Orders.m_ReportAfter = Idle ? core::Duration(1)
+                                : std::min(reportInterval(Options, Targets),
+                                           timeUntilStops(Last, Options));
   return Out;
 }
 
--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -93,6 +93,35 @@
   }
 }
 
+static void withdraw(PollingStep &Out, const TaskKey &Key, std::uint32_t Run,
+                     WithdrawalCause Cause) {
+  auto [Known, Added] = Out.m_Polling.m_Preempted.try_emplace(Key, Run);
+  if (!Added && Known->second == Run)
+    return;
+  Known->second = Run;
+  Out.m_Withdrawn.push_back({.m_Task = Key, .m_Run = Run, .m_Cause = Cause});
+}
+
+// Stops the runs on a target that is about to leave, while it can still report
+// their ends. An end that it can't report any more is not known to the leader,
+// which would run the task a second time.
+static void stopBeforeDeparture(PollingStep &Out, const State &Current,
+                                const roster::Member &Target,
+                                const PollingOptions &Options) {
+  const roster::Report &Last = Target.m_LastReport;
+  bool Departs = Last.m_Draining && Last.m_Remaining &&
+                 *Last.m_Remaining <= departureLead(Options);
+  if (!Departs)
+    return;
+  for (const TaskKey &Key : assignedTo(Current, Last.m_Target)) {
+    std::uint32_t Run = findTask(Current, Key)->m_Run;
+    bool MustStop = isAssignedRun(Current, Key, Run, Target.instance()) &&
+                    !isEndProposed(Out.m_Polling, Key, Run);
+    if (MustStop)
+      withdraw(Out, Key, Run, WithdrawalCause::Departing);
+  }
+}
+
 // True when a report shows anything that an assignment pass depends on other
 // than the progress of runs.
 static bool changesFleet(const roster::Member *Known,
@@ -136,6 +165,7 @@
       proposeEnd(Out, Each.m_Task, Each.m_Run,
                  roster::runOutcomeOf(Each.m_Cause), Each.m_Checkpoint);
   endStoppedRuns(Out, Current, Target, Options, Now);
+  stopBeforeDeparture(Out, Current, Target, Options);
   return Out;
 }
 
@@ -198,14 +228,6 @@
 // ---- Evacuated failure domains
 // ------------------------------------------------
 
-static void withdraw(PollingStep &Out, const TaskKey &Key, std::uint32_t Run) {
-  auto [Known, Added] = Out.m_Polling.m_Preempted.try_emplace(Key, Run);
-  if (!Added && Known->second == Run)
-    return;
-  Known->second = Run;
-  Out.m_Withdrawn.push_back(Key);
-}
-
 // Withdraws the run, and those of its whole gang: a gang with a member that may
 // not start can't work.
 static void withdrawUnit(PollingStep &Out, const State &Current,
@@ -213,12 +235,13 @@
   const workflow::Workflow &Owner = *findWorkflow(Current, Key.m_Workflow);
   std::uint32_t Run = Owner.find(Key.m_Step, Key.m_Index)->m_Run;
   if (!Owner.spec().m_Steps[Key.m_Step].m_Gang)
-    return withdraw(Out, Key, Run);
+    return withdraw(Out, Key, Run, WithdrawalCause::Evacuated);
   const auto &Members = Owner.fields().m_Steps[Key.m_Step].m_Tasks;
   for (std::uint32_t I = 0; I < Members.size(); ++I)
     if (Members[I].m_Phase == workflow::TaskPhase::Assigned &&
         Members[I].m_Run == Run)
-      withdraw(Out, {Key.m_Workflow, Key.m_Step, I}, Run);
+      withdraw(Out, {Key.m_Workflow, Key.m_Step, I}, Run,
+               WithdrawalCause::Evacuated);
 }
 
 // Withdraws the runs that were assigned to targets of evacuated domains and
@@ -292,4 +315,14 @@
   return Out;
 }
 
+const char *toString(WithdrawalCause Value) noexcept {
+  switch (Value) {
+  case WithdrawalCause::Evacuated:
+    return "evacuated";
+  case WithdrawalCause::Departing:
+    return "departing";
+  }
+  return "evacuated";
+}
+
 } // namespace fireflydrift::control
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -52,6 +52,11 @@
   // reported. Until then the leader takes its list of targets for incomplete.
   core::Duration m_FleetKnownAfter{1500};
   core::Duration m_LossCheckInterval{100};
+  // Longest time that a target takes to stop a run.
+  core::Duration m_StopWithin{1000};
+  // Added to m_StopWithin: the time in which a draining target's report, the
+  // stop order and the report of the end travel.
+  core::Duration m_StopTransit{250};
   // Interval between two looks for runs to withdraw from evacuated domains.
   core::Duration m_WithdrawInterval{100};
   // Interval between removals of targets that have been silent for too long.
@@ -91,7 +96,7 @@
   roster::Roster m_Roster;
   roster::Health m_Health;
   // Numbers of the runs that are being stopped because they were preempted,
-  // stalled, never started, or withdrawn from an evacuated failure domain.
+  // stalled, never started, or withdrawn.
   std::map<workflow::TaskKey, std::uint32_t> m_Preempted;
   // The highest run of each task whose end was proposed and is not durable yet.
   std::map<workflow::TaskKey, std::uint32_t> m_ProposedEnds;
@@ -112,6 +117,24 @@
 
 // ---- Steps -----------------------------------------------------------------
 
+// Why a run is withdrawn.
+enum class WithdrawalCause : std::uint8_t {
+  // It, or another member of its gang, has not started in a failure domain that
+  // is evacuated.
+  Evacuated,
+  // Its target leaves before it could report the end of the run.
+  Departing,
+};
+
+// A run that is stopped so that its task can run on another target.
+struct Withdrawal {
+  workflow::TaskKey m_Task;
+  std::uint32_t m_Run = 0;
+  WithdrawalCause m_Cause = WithdrawalCause::Evacuated;
+
+  friend bool operator==(const Withdrawal &, const Withdrawal &) = default;
+};
+
 struct PollingStep {
   PollingState m_Polling;
   std::vector<Command> m_Commands;
@@ -119,9 +142,7 @@
   std::vector<assignment::Preemption> m_Preemptions;
   // Runs that are stopped because they make no progress.
   std::vector<roster::RunningTask> m_Stalled;
-  // Runs that are withdrawn because they, or another member of their gang, have
-  // not started in a failure domain that is evacuated.
-  std::vector<workflow::TaskKey> m_Withdrawn;
+  std::vector<Withdrawal> m_Withdrawn;
 
   friend bool operator==(const PollingStep &, const PollingStep &) = default;
 };
@@ -184,6 +205,8 @@
                                        const PollingOptions &Options,
                                        std::uint64_t FencingToken);
 
+[[nodiscard]] const char *toString(WithdrawalCause Value) noexcept;
+
 } // namespace fireflydrift::control
 
 #endif // FIREFLYDRIFT_CONTROL_POLLING_H
--- a/packages/control/runs.cpp
+++ b/packages/control/runs.cpp
@@ -59,6 +59,10 @@
          std::none_of(Ended.begin(), Ended.end(), IsSameRun);
 }
 
+core::Duration departureLead(const PollingOptions &Options) {
+  return Options.m_StopWithin + Options.m_StopTransit;
+}
+
 bool isClosed(const State &Current, const roster::Member &Target) {
   const roster::Report &Last = Target.m_LastReport;
   return Last.m_Draining ||
--- a/packages/control/runs.h
+++ b/packages/control/runs.h
@@ -43,6 +43,9 @@
                                 const workflow::TaskKey &Key,
                                 std::uint32_t Run);
 
+// Time before a target's departure at which the runs on it are stopped.
+[[nodiscard]] core::Duration departureLead(const PollingOptions &Options);
+
 // True when no new run may start on the target: it is draining, or its failure
 // domain is evacuated.
 [[nodiscard]] bool isClosed(const State &Current, const roster::Member &Target);
--- a/packages/roster/report.h
+++ b/packages/roster/report.h
@@ -4,6 +4,8 @@
 
 #include "workflow/workflow.h"
 
+#include <optional>
+
 namespace fireflydrift::roster {
 
 // ---- Reports ---------------------------------------------------------------
@@ -63,8 +65,8 @@
   std::vector<std::string> m_Labels;
   core::Capacity m_Capacity;
   bool m_Draining = false;
-  // While draining: the minimum time that is left.
-  core::Duration m_Remaining{0};
+  // While draining: the minimum time until the target leaves, if it says so.
+  std::optional<core::Duration> m_Remaining;
   std::vector<RunningTask> m_Running;
   std::vector<EndedTask> m_Ended;
 
--- a/packages/runtime/counters.cpp
+++ b/packages/runtime/counters.cpp
@@ -85,7 +85,7 @@
       {"fireflydrift_requests_refused_total", "Requests refused by reason"},
       {"fireflydrift_retries_total", "Operations sent to a leader again"},
       {"fireflydrift_runs_withdrawn_total",
-       "Runs withdrawn from evacuated failure domains before they started"},
+       "Runs stopped to run elsewhere, by cause"},
       {"fireflydrift_starts_total", "Start orders given in answers to reports"},
       {"fireflydrift_stops_total", "Stop orders given in answers to reports"},
       {"fireflydrift_target_calls_total", "Calls to targets by outcome"},
--- a/packages/runtime/polling_driver.cpp
+++ b/packages/runtime/polling_driver.cpp
@@ -118,7 +118,9 @@
   if (Value.m_Draining && !WasDraining)
     logEvent(Event::TargetDraining,
              {{"target", Id.text()},
-              {"remaining_ms", std::to_string(Value.m_Remaining.count())}});
+              {"remaining_ms", Value.m_Remaining
+                                   ? std::to_string(Value.m_Remaining->count())
+                                   : std::string()}});
   // The target no longer waits for the answer to its earlier report.
   if (auto Earlier = take(Id))
     Earlier->m_Answer(std::nullopt);
@@ -130,6 +132,7 @@
                                  {"run", std::to_string(Each.m_Run)},
                                  {"percent", std::to_string(Each.m_Percent)},
                                  {"target", Id.text()}});
+  recordWithdrawals(Next.m_Withdrawn, State);
   m_Callbacks.m_Propose(std::move(Next.m_Commands));
   const roster::Member *From = m_Polling->m_Roster.find(Id);
   control::ReportResponse Response =
@@ -240,6 +243,19 @@
     markAffected(State, Each.m_Workflow);
 }
 
+void PollingDriver::recordWithdrawals(
+    const std::vector<control::Withdrawal> &All, const control::State &State) {
+  for (const control::Withdrawal &Each : All) {
+    std::string Cause = control::toString(Each.m_Cause);
+    logEvent(Event::RunWithdrawn, {{"task", workflow::toString(Each.m_Task)},
+                                   {"run", std::to_string(Each.m_Run)},
+                                   {"cause", Cause}});
+    m_Counters.add("fireflydrift_runs_withdrawn_total", 1,
+                   "cause=\"" + Cause + "\"");
+    markAffected(State, Each.m_Task.m_Workflow);
+  }
+}
+
 // A change of one task can change the orders for all tasks of its workflow.
 void PollingDriver::markAffected(const control::State &State,
                                  const core::RequestId &Workflow) {
@@ -276,11 +292,7 @@
                                    {"for", Each.m_Preemptor.text()}});
   for (const assignment::Preemption &Each : Next.m_Preemptions)
     markAffected(State, Each.m_Task.m_Workflow);
-  for (const workflow::TaskKey &Each : Next.m_Withdrawn) {
-    logEvent(Event::RunWithdrawn, {{"task", workflow::toString(Each)}});
-    markAffected(State, Each.m_Workflow);
-  }
-  m_Counters.add("fireflydrift_runs_withdrawn_total", Next.m_Withdrawn.size());
+  recordWithdrawals(Next.m_Withdrawn, State);
   for (const control::Command &Each : Next.m_Commands)
     if (const auto *Assigned = std::get_if<control::AssignTasks>(&Each))
       logAssignment(*Assigned);
--- a/packages/runtime/polling_driver.h
+++ b/packages/runtime/polling_driver.h
@@ -69,6 +69,8 @@
   void countStale(const roster::Report &Value, core::Time Now);
   void refuse(const roster::Report &Value, roster::ReportVerdict Verdict,
               core::Time Now);
+  void recordWithdrawals(const std::vector<control::Withdrawal> &All,
+                         const control::State &State);
   void logOrders(const core::TargetId &Id, const roster::Orders &Orders);
 
   control::PollingOptions m_Options;
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -229,6 +229,10 @@
         "How far each answered report extends the leases of a target that "
         "fetches its orders"},
        duration(PART(m_Leader.m_Polling.m_Roster.m_Lease), 100, MinuteMs)},
+      {{"targets", "stop_within_ms",
+        "Longest time that a target which fetches its orders takes to stop a "
+        "run"},
+       duration(PART(m_Leader.m_Polling.m_StopWithin), 0, MinuteMs)},
       {{"targets", "orders",
         "How targets that report get their orders: heartbeat, in the answers"},
        [](Settings &, const std::string &Text) {
--- a/tests/control/evacuation_test.cpp
+++ b/tests/control/evacuation_test.cpp
@@ -148,7 +148,7 @@
   EXPECT_TRUE(Later.orders("east").m_Starts.empty());
 
   EXPECT_EQ(Leader.tickAfter(Leader.m_Options.m_WithdrawInterval).m_Withdrawn,
-            (std::vector<workflow::TaskKey>{{Job, 0, 0}}));
+            (std::vector<Withdrawal>{{.m_Task = {Job, 0, 0}, .m_Run = 1}}));
   EXPECT_EQ(Leader.orders("east").m_Stops.size(), 1U);
   bool Ended = false;
   for (int I = 0; I < 10 && !Ended; ++I)
--- a/tests/control/polling_test.cpp
+++ b/tests/control/polling_test.cpp
@@ -168,3 +168,102 @@
   EXPECT_EQ(PreemptionsAt(at(-1) + Options.m_FleetKnownAfter), 0U);
   EXPECT_EQ(PreemptionsAt(at(0) + Options.m_FleetKnownAfter), 1U);
 }
+
+namespace {
+
+// A target that leaves in a stated time, with a run of a workflow on it.
+struct Departing {
+  static constexpr core::Duration Before{400};
+
+  Departing()
+      : m_State(apply(oneWorkflow(),
+                      {.m_At = at(0),
+                       .m_Commands = {AssignTasks{
+                           .m_Workflow = core::RequestId("w"),
+                           .m_Assign = {.m_Run = 1,
+                                        .m_Placements = {{.m_Instance =
+                                                              Instance}}}}}})
+                    .m_State) {
+    m_Options.m_StopWithin = Before - m_Options.m_StopTransit;
+    for (int I = 0; I < 2; ++I)
+      (void)report(std::nullopt);
+  }
+
+  PollingStep report(std::optional<core::Duration> Remaining,
+                     std::vector<roster::EndedTask> Ended = {}) {
+    PollingStep Next = handleReport(
+        std::move(m_Polling), m_State,
+        {.m_Target = Instance.m_Target,
+         .m_Incarnation = 1,
+         .m_Sequence = ++m_Sequence,
+         .m_Draining = true,
+         .m_Remaining = Remaining,
+         .m_Running = Ended.empty() ? std::vector{Running}
+                                    : std::vector<roster::RunningTask>(),
+         .m_Ended = Ended},
+        m_Options, at(10));
+    m_Polling = Next.m_Polling;
+    m_Orders =
+        ordersFor(m_Polling, m_State,
+                  *m_Polling.m_Roster.find(Instance.m_Target), m_Options, 1)
+            .m_Orders;
+    m_Polling =
+        recordOrdersSent(std::move(m_Polling), m_State, Instance.m_Target,
+                         m_Orders, m_Options, at(10), at(10));
+    return Next;
+  }
+
+  const workflow::TargetInstance Instance{.m_Target = core::TargetId("t"),
+                                          .m_Incarnation = 1};
+  const roster::RunningTask Running{.m_Task = {core::RequestId("w"), 0, 0},
+                                    .m_Run = 1};
+  PollingOptions m_Options;
+  State m_State;
+  PollingState m_Polling = beginPolling(at(0));
+  roster::Orders m_Orders;
+  std::uint64_t m_Sequence = 0;
+};
+
+} // namespace
+
+// Guards against running a task twice: a run ends in the last moment before its
+// target leaves, which reports the end to nobody, and the leader assigns the
+// task again once the target's lease has ended.
+TEST(Polling, StopsRunsWhileTheirTargetCanStillReportTheEnds) {
+  Departing Target;
+  EXPECT_TRUE(
+      Target.report(Target.Before + core::Duration(1)).m_Withdrawn.empty());
+  EXPECT_TRUE(Target.m_Orders.m_Stops.empty());
+  EXPECT_EQ(Target.report(Target.Before).m_Withdrawn.size(), 1U);
+  EXPECT_EQ(Target.m_Orders.m_Stops.size(), 1U);
+  // The stop is repeated until the end is reported, and decided once.
+  EXPECT_TRUE(Target.report(core::Duration(0)).m_Withdrawn.empty());
+  EXPECT_EQ(Target.m_Orders.m_Stops.size(), 1U);
+}
+
+TEST(Polling, LetsRunsGoOnWhileTheDepartureIsNotKnown) {
+  Departing Target;
+  EXPECT_TRUE(Target.report(std::nullopt).m_Withdrawn.empty());
+  EXPECT_TRUE(Target.m_Orders.m_Stops.empty());
+}
+
+TEST(Polling, DoesNotStopARunWhoseEndIsReported) {
+  Departing Target;
+  PollingStep Next =
+      Target.report(Target.Before, {{.m_Number = 1,
+                                     .m_Task = Target.Running.m_Task,
+                                     .m_Run = 1,
+                                     .m_Cause = roster::EndCause::Done}});
+  EXPECT_EQ(Next.m_Commands.size(), 1U);
+  EXPECT_TRUE(Next.m_Withdrawn.empty());
+}
+
+// The target has to report when it is time to stop its runs, not up to an
+// interval later.
+TEST(Polling, AsksADepartingTargetToReportInTime) {
+  Departing Target;
+  (void)Target.report(Target.Before + core::Duration(40));
+  EXPECT_EQ(Target.m_Orders.m_ReportAfter, core::Duration(40));
+  (void)Target.report(Target.Before + core::Duration(5000));
+  EXPECT_EQ(Target.m_Orders.m_ReportAfter, Target.m_Options.m_ReportInterval);
+}
