Let a target's own host replace a foreign report of the same instance

After a change of leader another writer's entry with a worker's id and start time may be the first that the new leader hears. A report from the target's own host now goes before one that is not, also for the same instance; the lease that was granted meanwhile is kept. The new test fails without the change.

--- a/packages/roster/roster.cpp
+++ b/packages/roster/roster.cpp
@@ -34,6 +34,13 @@
                          Value.m_LastReportAt + longestLease(Options));
 }
 
+// True when the report comes from the target's own host, and those that were
+// accepted so far did not: they may have been another writer's, so nothing that
+// they say counts against it.
+static bool isFirstFromOwnHost(const Member &Known, const Report &Value) {
+  return isFromOwnHost(Value) && !isFromOwnHost(Known.m_LastReport);
+}
+
 // The verdict on another report of the instance.
 static ReportVerdict judgeSameInstance(const Member &Known, const Report &Value,
                                        const RosterOptions &Options,
@@ -84,9 +91,11 @@
       Value.m_Incarnation <= Ended->second)
     return ReportVerdict::Outdated;
   const Member *Known = find(Value.m_Target);
-  if (Known && Known->m_LastReport.m_Incarnation == Value.m_Incarnation)
+  bool IsSameInstance =
+      Known && Known->m_LastReport.m_Incarnation == Value.m_Incarnation;
+  if (IsSameInstance && !isFirstFromOwnHost(*Known, Value))
     return judgeSameInstance(*Known, Value, Options, Now);
-  if (Known) {
+  if (Known && !IsSameInstance) {
     ReportVerdict Verdict = judgeClaim(*Known, Value, Options, Now);
     if (Verdict != ReportVerdict::Accepted)
       return Verdict;
@@ -172,11 +181,19 @@
   if (judge(Value, Options, Now) != ReportVerdict::Accepted)
     return std::move(*this);
   const Member *Known = find(Value.m_Target);
-  bool IsNewInstance =
-      !Known || Known->m_LastReport.m_Incarnation != Value.m_Incarnation;
+  bool IsSameInstance =
+      Known && Known->m_LastReport.m_Incarnation == Value.m_Incarnation;
+  bool IsNewInstance = !IsSameInstance || isFirstFromOwnHost(*Known, Value);
+  core::Time LeaseUntil = m_LeaderSince + longestLease(Options);
   if (IsNewInstance) {
-    if (Known)
+    if (IsSameInstance) {
+      // The same runs; a lease that was granted on the earlier reports may have
+      // reached the target.
+      LeaseUntil = std::max(LeaseUntil, Known->m_LeaseUntil);
+      removeMember(core::TargetId(Value.m_Target));
+    } else if (Known) {
       replaceHolder(Value.m_Target, Value, Options, Now);
+    }
     if (const Member *Owner = ownerOf(Value.m_Address))
       replaceHolder(core::TargetId(Owner->m_LastReport.m_Target), Value,
                     Options, Now);
@@ -187,7 +204,7 @@
   Member &Current = m_Members[Value.m_Target];
   if (IsNewInstance) {
     Current.m_FirstReportAt = Now;
-    Current.m_LeaseUntil = m_LeaderSince + longestLease(Options);
+    Current.m_LeaseUntil = LeaseUntil;
   }
   Current.m_Confirmed = Current.m_Confirmed || Current.m_Answered;
   Current.m_LastReportAt = Now;
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -101,6 +101,31 @@
   EXPECT_EQ(judge(Value, homeReport(5, 3), 300), ReportVerdict::Accepted);
 }
 
+// After a change of leader, another writer's report with the target's id and
+// start time may be the first one that the new leader hears. It kept the target
+// itself out until it had been silent for two minutes.
+TEST(Roster, TheOwnHostGoesBeforeAForeignReportOfTheSameInstance) {
+  Report OtherPool = report(5, 1);
+  OtherPool.m_Pool = "other";
+  for (const Report &Foreign :
+       {report(5, 9, "t", "10.0.0.2:1", "10.9.9.9"), OtherPool,
+        report(5, 1ULL << 39U, "t", "10.0.0.1:1", "10.9.9.9")}) {
+    Roster Value = withAnsweredReport(Roster(at(0)), Foreign, 100);
+    Value = withAnsweredReport(std::move(Value), homeReport(5, 3), 200);
+    const Member *Known = Value.find(Target);
+    ASSERT_NE(Known, nullptr);
+    EXPECT_EQ(Known->m_LastReport, homeReport(5, 3));
+    EXPECT_FALSE(Known->m_Confirmed);
+    EXPECT_EQ(judge(Value, Foreign, 300), ReportVerdict::Mismatched);
+    Value = withReport(std::move(Value), homeReport(5, 4), 400);
+    EXPECT_TRUE(Value.isSchedulable(*Value.find(Target), Options, at(400)));
+    EXPECT_FALSE(Value.isExpired({Target, 5}, Options, at(400)));
+    // The address that the foreign report named is free again.
+    EXPECT_EQ(judge(Value, report(1, 1, "u", "10.0.0.2:1"), 500),
+              ReportVerdict::Accepted);
+  }
+}
+
 // ---- Claims of an id or an address -----------------------------------------
 
 // Any writer could name a target's id or address with a later start time: the
