Weigh waiting and preempted work by its cost of delay

Among steps that are not urgent, the one with the earliest latest start went first, whatever its priority; victims of preemption were chosen by the lost work alone, with checkpoints taken to be 500 ms apart. Now the cost of delay decides, from priority, deadline and remaining work, and lost work is weighed by the value of its result (docs/design/overload.md). New settings scheduling.policy and targets.checkpoint_interval_s.

--- a/packages/assignment/preemption.cpp
+++ b/packages/assignment/preemption.cpp
@@ -24,8 +24,10 @@
       Unit.m_BeyondReservation = Each.m_Priority == 0;
       Unit.m_Tasks.push_back(Each.m_Task);
       Unit.m_Allocated.emplace_back(Index, Each.m_Capacity);
-      Unit.m_Cost += Each.m_UnsavedRunTime.count() *
-                     std::max<std::int64_t>(Each.m_Capacity.m_Accelerators, 1);
+      auto Lost = static_cast<double>(
+          Each.m_UnsavedRunTime.count() *
+          std::max<std::int64_t>(Each.m_Capacity.m_Accelerators, 1));
+      Unit.m_Cost += static_cast<std::int64_t>(Lost * Each.m_Value);
     }
   std::vector<Victim> Found;
   Found.reserve(Units.size());
--- a/packages/assignment/rank.cpp
+++ b/packages/assignment/rank.cpp
@@ -21,6 +21,10 @@
   return Value.fields().m_AcceptedAt + latencyBudget(Value);
 }
 
+core::Time expiryOf(const workflow::Workflow &Value) {
+  return Value.fields().m_AcceptedAt + latencyBudget(Value) * ExpiryFactor;
+}
+
 namespace {
 
 enum class DeadlineStatus : std::uint8_t { OnTime, Late, Expired };
@@ -42,10 +46,8 @@
 static Rank rankOf(const PendingStep &Value, core::Time Now) {
   const workflow::Workflow &Owner = *Value.m_Workflow;
   core::Time End = Now + Value.m_Remaining;
-  core::Time Expiry =
-      Owner.fields().m_AcceptedAt + latencyBudget(Owner) * ExpiryFactor;
   DeadlineStatus Status = End <= objectiveOf(Owner) ? DeadlineStatus::OnTime
-                          : End <= Expiry           ? DeadlineStatus::Late
+                          : End <= expiryOf(Owner)  ? DeadlineStatus::Late
                                                     : DeadlineStatus::Expired;
   return {.m_NotUrgent = Value.policy().m_Priority != 0,
           .m_NotReserved = !Value.m_Reserved,
--- a/packages/assignment/rank.h
+++ b/packages/assignment/rank.h
@@ -22,6 +22,8 @@
 
 // The time by which the workflow should be completed.
 [[nodiscard]] core::Time objectiveOf(const workflow::Workflow &Value);
+// The time from which the workflow's result is of no use to its caller.
+[[nodiscard]] core::Time expiryOf(const workflow::Workflow &Value);
 
 } // namespace fireflydrift::assignment
 
--- a/packages/assignment/view.h
+++ b/packages/assignment/view.h
@@ -18,6 +18,9 @@
   core::Time m_ExpectedEnd;
   // Upper bound of the run time that is lost if the task is stopped now.
   core::Duration m_UnsavedRunTime{0};
+  // Value of the workflow's result, by which the work that is lost is weighed;
+  // 1 where all work counts the same.
+  double m_Value = 1;
   // True for a member of a gang, which is stopped as a whole.
   bool m_Gang = false;
   // True for urgent work within the capacity reserved for its workspace.
@@ -58,6 +61,11 @@
   core::Duration m_RunTime{0};
   // Estimated time from now to the end of the workflow if all were placed now.
   core::Duration m_Remaining{0};
+  // Estimated work that the workflow still needs, in accelerator-milliseconds;
+  // a task without accelerators counts as if it used one.
+  std::int64_t m_RemainingWork = 0;
+  // The same for the whole workflow, with what is done.
+  std::int64_t m_TotalWork = 0;
   // Targets on which a task of the step has failed.
   std::set<core::TargetId> m_FailedTargets;
   // True for urgent work within the capacity reserved by its workspace. The
--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -225,8 +225,7 @@
     }
 }
 
-// ---- Evacuated failure domains
-// ------------------------------------------------
+// ---- Evacuated failure domains --------------------------------------------
 
 // Withdraws the run, and those of its whole gang: a gang with a member that may
 // not start can't work.
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -52,6 +52,8 @@
   // reported. Until then the leader takes its list of targets for incomplete.
   core::Duration m_FleetKnownAfter{1500};
   core::Duration m_LossCheckInterval{100};
+  // Time of work between two checkpoints of a run that writes them.
+  core::Duration m_CheckpointInterval{500};
   // Longest time that a target takes to stop a run.
   core::Duration m_StopWithin{1000};
   // Added to m_StopWithin: the time in which a draining target's report, the
--- a/packages/control/view.cpp
+++ b/packages/control/view.cpp
@@ -1,5 +1,7 @@
 #include "control/view.h"
 
+#include "assignment/delay_cost.h"
+
 #include <algorithm>
 
 namespace fireflydrift::control::impl {
@@ -58,13 +60,11 @@
 
 static assignment::TaskAllocation
 allocationOf(const State &Current, const roster::Member &Target,
-             const TaskKey &Key, const WorkflowIds &Reserved, core::Time Now) {
+             const TaskKey &Key, const WorkflowIds &Reserved,
+             const PollingOptions &Options, core::Time Now) {
   const workflow::Workflow &Workflow = *findWorkflow(Current, Key.m_Workflow);
   const workflow::StepSpec &Step = Workflow.spec().m_Steps[Key.m_Step];
   const workflow::Task &Value = *Workflow.find(Key.m_Step, Key.m_Index);
-  // A run that saves checkpoints loses only the work since its newest one,
-  // which is at most this old.
-  constexpr core::Duration CheckpointInterval{500};
   core::Duration Ran = Now - Value.m_AssignedAt;
   const roster::RunningTask *Seen =
       reportedRun(Target.m_LastReport, Key, Value.m_Run);
@@ -74,7 +74,10 @@
           .m_Capacity = Step.m_PerTask,
           .m_Priority = Workflow.spec().m_Policy.m_Priority,
           .m_ExpectedEnd = expectedEnd(Step, Value),
-          .m_UnsavedRunTime = Saves ? std::min(Ran, CheckpointInterval) : Ran,
+          // A run that saves checkpoints loses only the work since its newest
+          // one.
+          .m_UnsavedRunTime =
+              Saves ? std::min(Ran, Options.m_CheckpointInterval) : Ran,
           .m_Gang = Step.m_Gang,
           .m_Reserved = Reserved.contains(Key.m_Workflow),
           .m_Preemptible = !Step.m_LongRunning};
@@ -106,23 +109,23 @@
 static assignment::TargetInfo
 targetInfoOf(const PollingState &Polling, const State &Current,
              const roster::Member &Target, const WorkflowIds &Reserved,
-             const roster::HealthOptions &Options, core::Time Now) {
+             const PollingOptions &Options, core::Time Now) {
   const roster::Report &Last = Target.m_LastReport;
-  assignment::TargetInfo Value{
-      .m_Instance = Target.instance(),
-      .m_Pool = Last.m_Pool,
-      .m_Rack = Last.m_Rack,
-      .m_Labels = Last.m_Labels,
-      .m_Total = Last.m_Capacity,
-      .m_Free = Last.m_Capacity,
-      .m_Suspect = Polling.m_Health.isSuspect(Last.m_Target, Options, Now)};
+  assignment::TargetInfo Value{.m_Instance = Target.instance(),
+                               .m_Pool = Last.m_Pool,
+                               .m_Rack = Last.m_Rack,
+                               .m_Labels = Last.m_Labels,
+                               .m_Total = Last.m_Capacity,
+                               .m_Free = Last.m_Capacity,
+                               .m_Suspect = Polling.m_Health.isSuspect(
+                                   Last.m_Target, Options.m_Health, Now)};
   addUnassignedRuns(Value, Current, Target);
   for (const TaskKey &Key : assignedTo(Current, Last.m_Target)) {
     const workflow::Task &Task = *findTask(Current, Key);
     if (Task.m_Instance != Target.instance())
       continue;
     assignment::TaskAllocation Each =
-        allocationOf(Current, Target, Key, Reserved, Now);
+        allocationOf(Current, Target, Key, Reserved, Options, Now);
     if (!shouldRun(Polling, Current, Key, Task.m_Run)) {
       addStoppingRun(Value, Key, Each.m_Capacity);
       continue;
@@ -156,6 +159,25 @@
   return Longest;
 }
 
+// Sets the work of the workflow, in accelerator-milliseconds.
+static void setWork(assignment::PendingStep &Pending,
+                    const workflow::Workflow &Value, core::Time Now) {
+  for (std::size_t I = 0; I < Value.spec().m_Steps.size(); ++I) {
+    const workflow::StepSpec &Step = Value.spec().m_Steps[I];
+    std::int64_t Accelerators =
+        std::max<std::int64_t>(Step.m_PerTask.m_Accelerators, 1);
+    for (const workflow::Task &Each : Value.fields().m_Steps[I].m_Tasks) {
+      core::Duration Left{0};
+      if (Each.m_Phase == workflow::TaskPhase::Waiting)
+        Left = Step.m_RunTime;
+      else if (Each.m_Phase == workflow::TaskPhase::Assigned)
+        Left = std::max(expectedEnd(Step, Each) - Now, core::Duration(0));
+      Pending.m_TotalWork += Step.m_RunTime.count() * Accelerators;
+      Pending.m_RemainingWork += Left.count() * Accelerators;
+    }
+  }
+}
+
 static void addPendingSteps(const workflow::Workflow &Value,
                             const WorkflowIds &Reserved, core::Time Now,
                             std::vector<assignment::PendingStep> &Steps) {
@@ -179,10 +201,33 @@
       continue;
     Pending.m_RunTime = Value.spec().m_Steps[I].m_RunTime;
     Pending.m_Remaining = remaining(Value, Now);
+    setWork(Pending, Value, Now);
     Steps.push_back(std::move(Pending));
   }
 }
 
+// The least weight of lost work: of two works without value, that which loses
+// less is preempted.
+static constexpr double MinValue = 0.05;
+
+// Weighs each allocation by the value that its workflow's result will have if
+// nothing of it is preempted.
+static void weighAllocations(const State &Current, core::Time Now,
+                             std::vector<assignment::TargetInfo> &Targets) {
+  std::map<core::RequestId, double> Values;
+  for (assignment::TargetInfo &Target : Targets)
+    for (assignment::TaskAllocation &Each : Target.m_Allocations) {
+      auto [Known, Added] = Values.try_emplace(Each.m_Task.m_Workflow, 0);
+      if (Added) {
+        const auto &Owner = *findWorkflow(Current, Each.m_Task.m_Workflow);
+        Known->second = std::max(
+            assignment::resultValue(Owner, Now + remaining(Owner, Now)),
+            MinValue);
+      }
+      Each.m_Value = Known->second;
+    }
+}
+
 PassInput makePassInput(const PollingState &Polling, const State &Current,
                         const PollingOptions &Options, core::Time Now) {
   PassInput Out;
@@ -195,8 +240,10 @@
   for (const auto &[Id, Each] : Polling.m_Roster.members())
     if (Polling.m_Roster.isSchedulable(Each, Options.m_Roster, Now) &&
         !isClosed(Current, Each))
-      Out.m_Targets.push_back(targetInfoOf(Polling, Current, Each, Reserved,
-                                           Options.m_Health, Now));
+      Out.m_Targets.push_back(
+          targetInfoOf(Polling, Current, Each, Reserved, Options, Now));
+  if (Options.m_Pass.m_WeighLostWork)
+    weighAllocations(Current, Now, Out.m_Targets);
   return Out;
 }
 
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -1,5 +1,6 @@
 #include "runtime/settings.h"
 
+#include "assignment/delay_cost.h"
 #include "runtime/address.h"
 
 #include <charconv>
@@ -50,6 +51,25 @@
   };
 }
 
+// A duration in seconds, which may have a fraction.
+static ValueSetter seconds(core::Duration &(*Member)(Settings &),
+                           std::int64_t MaxSeconds) {
+  return [=](Settings &Values, const std::string &Text) {
+    constexpr double MsPerSecond = 1000;
+    double Value = 0;
+    const char *End = Text.data() + Text.size();
+    auto [ParsedEnd, Error] = std::from_chars(Text.data(), End, Value);
+    bool InRange = Value > 0 && Value <= static_cast<double>(MaxSeconds);
+    if (Error != std::errc() || ParsedEnd != End || !InRange)
+      return "must be a number of seconds above 0 and at most " +
+             std::to_string(MaxSeconds);
+    Member(Values) = std::max(
+        core::Duration(static_cast<core::Duration::rep>(Value * MsPerSecond)),
+        core::Duration(1));
+    return std::string();
+  };
+}
+
 static ValueSetter text(std::string &(*Member)(Settings &)) {
   return [=](Settings &Values, const std::string &Text) {
     Member(Values) = Text;
@@ -229,6 +249,9 @@
         "How far each answered report extends the leases of a target that "
         "fetches its orders"},
        duration(PART(m_Leader.m_Polling.m_Roster.m_Lease), 100, MinuteMs)},
+      {{"targets", "checkpoint_interval_s",
+        "Seconds of work between two checkpoints of a task that writes them"},
+       seconds(PART(m_Leader.m_Polling.m_CheckpointInterval), 3600)},
       {{"targets", "stop_within_ms",
         "Longest time that a target which fetches its orders takes to stop a "
         "run"},
@@ -242,6 +265,19 @@
                     : std::string("must be heartbeat; sending orders to such "
                                   "targets by request is not supported");
        }},
+      {{"scheduling", "policy",
+        "Which work goes first, and which is preempted, when there is too "
+        "little room: latest_start, or delay_cost"},
+       [](Settings &Values, const std::string &Text) {
+         bool ByCost = Text == "delay_cost";
+         if (!ByCost && Text != "latest_start")
+           return std::string("must be latest_start or delay_cost");
+         assignment::PassOptions &Pass = Values.m_Leader.m_Polling.m_Pass;
+         Pass.m_Order =
+             ByCost ? assignment::orderByDelayCost : assignment::orderByUrgency;
+         Pass.m_WeighLostWork = ByCost;
+         return std::string();
+       }},
       {{"security", "operator_token_file",
         "File with the operators' token; without it operators need none"},
        text(PART(m_OperatorTokenFile))},
--- a/tests/control/evacuation_test.cpp
+++ b/tests/control/evacuation_test.cpp
@@ -192,8 +192,7 @@
                   .m_Withdrawn.empty());
 }
 
-// ---- Targets that are called
-// -------------------------------------------------
+// ---- Targets that are called ----------------------------------------------
 
 namespace {
 
@@ -288,8 +287,7 @@
             1U);
 }
 
-// ---- Operations and storage
-// --------------------------------------------------
+// ---- Operations and storage -----------------------------------------------
 
 TEST(ControlEvacuation, AnsweredOnlyOnceDurableAndRepeatedWithoutEffect) {
   State Current = withCalledTargets();
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -112,3 +112,37 @@
   EXPECT_NE(core::toString(Values.reason()).find("mutually exclusive"),
             std::string::npos);
 }
+
+TEST(Settings, ReadsSecondsWithAFraction) {
+  auto With = [](const std::string &Value) {
+    return parseSettings(std::string(ValidText) +
+                             "[targets]\ncheckpoint_interval_s = " + Value +
+                             "\n",
+                         "x");
+  };
+  auto Interval = [&](const char *Value) {
+    auto Values = With(Value);
+    EXPECT_TRUE(Values) << core::toString(Values.reason());
+    return Values ? Values->m_Leader.m_Polling.m_CheckpointInterval
+                  : core::Duration(0);
+  };
+  EXPECT_EQ(Interval("0.5"), core::Duration(500));
+  EXPECT_EQ(Interval("2"), core::Duration(2000));
+  EXPECT_EQ(Interval("0.0000001"), core::Duration(1));
+  for (const char *Wrong : {"0", "-1", "nan", "inf", "1e300", "3601", "1s", ""})
+    EXPECT_FALSE(With(Wrong)) << Wrong;
+}
+
+TEST(Settings, ReadsTheSchedulingPolicy) {
+  auto With = [](const std::string &Value) {
+    return parseSettings(
+        std::string(ValidText) + "[scheduling]\npolicy = " + Value + "\n", "x");
+  };
+  auto ByCost = With("delay_cost");
+  ASSERT_TRUE(ByCost);
+  EXPECT_TRUE(ByCost->m_Leader.m_Polling.m_Pass.m_WeighLostWork);
+  auto ByStart = With("latest_start");
+  ASSERT_TRUE(ByStart);
+  EXPECT_EQ(ByStart->m_Leader.m_Polling.m_Pass, assignment::PassOptions());
+  EXPECT_FALSE(With("fastest"));
+}
