--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -46,6 +46,8 @@
   std::string m_DataFolder;
   std::string m_Port = "7600";
   bool m_CheckOnly = false;
+  // Settings that go before those of the file, as section.key=value.
+  std::vector<std::string> m_Overrides;
 };
 
 } // namespace
@@ -57,12 +59,22 @@
   return Value;
 }
 
+// Copies a list of strings that popt allocated and frees the original.
+static std::vector<std::string> takeStrings(char **Texts) {
+  std::vector<std::string> Values;
+  for (char **Each = Texts; Each && *Each; ++Each)
+    Values.push_back(takeString(*Each));
+  std::free(Texts);
+  return Values;
+}
+
 // Returns an exit code when the process should exit immediately.
 static std::optional<int> readArguments(int Argc, const char **Argv,
                                         Arguments &Args) {
   char *SettingsFile = nullptr;
   char *DataFolder = nullptr;
   char *Port = nullptr;
+  char **Overrides = nullptr;
   int CheckOnly = 0;
   int Version = 0;
   const poptOption Options[] = {
@@ -73,6 +85,8 @@
        "Data folder; used only without --settings", "FOLDER"},
       {"port", 'p', POPT_ARG_STRING, &Port, 0,
        "HTTP port, default 7600; used only without --settings", "PORT"},
+      {"set", 0, POPT_ARG_ARGV, &Overrides, 0,
+       "Replaces a setting of the file; may be repeated", "SECTION.KEY=VALUE"},
       {"check", 'c', POPT_ARG_NONE, &CheckOnly, 0,
        "Check the settings and exit", nullptr},
       {"version", 'V', POPT_ARG_NONE, &Version, 0, "Print the version",
@@ -90,6 +104,7 @@
   if (std::string PortText = takeString(Port); !PortText.empty())
     Args.m_Port = PortText;
   Args.m_CheckOnly = CheckOnly != 0;
+  Args.m_Overrides = takeStrings(Overrides);
   if (Version != 0) {
     std::cout << "fireflydriftd " << FIREFLYDRIFT_VERSION << "\n";
     return ExitOk;
@@ -240,8 +255,9 @@
   auto ExitCode = readArguments(Argc, const_cast<const char **>(Argv), Args);
   if (ExitCode)
     return *ExitCode;
-  auto Values = Args.m_SettingsFile.empty() ? builtInSettings(Args)
-                                            : readSettings(Args.m_SettingsFile);
+  auto Values = Args.m_SettingsFile.empty()
+                    ? builtInSettings(Args)
+                    : readSettings(Args.m_SettingsFile, Args.m_Overrides);
   if (!Values) {
     std::cerr << "fireflydriftd: " << core::toString(Values.reason()) << "\n";
     return ExitInvalidSettings;
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -337,6 +337,10 @@
       m_Error = {core::ReasonCode::InvalidInput,
                  m_Name + ":" + std::to_string(Line) + " " + Key, Message};
   }
+  void failOverride(const std::string &Override, const std::string &Message) {
+    if (m_Error.m_Code == core::ReasonCode::None)
+      m_Error = {core::ReasonCode::InvalidInput, "--set " + Override, Message};
+  }
   [[nodiscard]] int lineOf(const std::string &Key) const {
     auto Found = m_LineByKey.find(Key);
     return Found == m_LineByKey.end() ? m_Line : Found->second;
@@ -489,8 +493,26 @@
                "exceeds the number of failure domains of the replicas");
 }
 
-core::Outcome<Settings> parseSettings(const std::string &Text,
-                                      const std::string &Name) {
+// Applies "section.key=value". An override without a value leaves the key as it
+// is: an environment may not know the value.
+static void applyOverride(ParseState &State, const std::string &Override) {
+  std::size_t Equals = Override.find('=');
+  std::size_t Dot = Override.find('.');
+  if (Equals == std::string::npos || Dot > Equals)
+    return State.failOverride(Override, "must be section.key=value");
+  std::string Value = Override.substr(Equals + 1);
+  if (Value.empty())
+    return;
+  std::string Key = Override.substr(Dot + 1, Equals - Dot - 1);
+  std::string Violation =
+      applyKey(Override.substr(0, Dot), Key, Value, State.m_Settings);
+  if (!Violation.empty())
+    State.failOverride(Override, Violation);
+}
+
+static core::Outcome<Settings>
+parse(const std::string &Text, const std::string &Name,
+      const std::vector<std::string> &Overrides) {
   ParseState State{.m_Name = Name, .m_Stream = std::istringstream(Text)};
   constexpr std::size_t DefaultMaxBodyBytes = 1 << 20;
   constexpr std::size_t DefaultMaxConnections = 4096;
@@ -499,6 +521,8 @@
   int BadLine = ini_parse_stream(readLine, &State, onKeyValue, &State);
   if (BadLine > 0)
     State.fail("", BadLine, "is neither a section nor key = value");
+  for (const std::string &Each : Overrides)
+    applyOverride(State, Each);
   validateCombinations(State);
   if (State.m_Error.m_Code != core::ReasonCode::None)
     return State.m_Error;
@@ -507,13 +531,20 @@
   return State.m_Settings;
 }
 
-core::Outcome<Settings> readSettings(const std::string &FileName) {
+core::Outcome<Settings> parseSettings(const std::string &Text,
+                                      const std::string &Name) {
+  return parse(Text, Name, {});
+}
+
+core::Outcome<Settings>
+readSettings(const std::string &FileName,
+             const std::vector<std::string> &Overrides) {
   std::ifstream Stream(FileName);
   std::ostringstream Text;
   Text << Stream.rdbuf();
   if (!Stream)
     return core::Reason{core::ReasonCode::Io, FileName, "can't be read"};
-  return parseSettings(Text.str(), FileName);
+  return parse(Text.str(), FileName, Overrides);
 }
 
 } // namespace fireflydrift::runtime
--- a/packages/runtime/settings.h
+++ b/packages/runtime/settings.h
@@ -80,8 +80,12 @@
 // is wrong.
 [[nodiscard]] core::Outcome<Settings> parseSettings(const std::string &Text,
                                                     const std::string &Name);
-// Parses a settings file. Also fails with Io when it can't be read.
-[[nodiscard]] core::Outcome<Settings> readSettings(const std::string &FileName);
+// Parses a settings file. Overrides, as "section.key=value", go before what the
+// file says; one without a value changes nothing. Also fails with Io when the
+// file can't be read, and with InvalidInput for an override of another form.
+[[nodiscard]] core::Outcome<Settings>
+readSettings(const std::string &FileName,
+             const std::vector<std::string> &Overrides = {});
 
 } // namespace fireflydrift::runtime
 
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -146,3 +146,22 @@
   EXPECT_EQ(ByStart->m_Leader.m_Polling.m_Pass, assignment::PassOptions());
   EXPECT_FALSE(With("fastest"));
 }
+
+TEST(Settings, OverridesGoBeforeTheFile) {
+  std::string File =
+      testing::TempDir() + "fd-settings-" + std::to_string(getpid()) + ".ini";
+  std::ofstream(File) << ValidText + "[targets]\nstop_within_ms = 100\n";
+  auto Values = readSettings(File, {"targets.stop_within_ms=200"});
+  ASSERT_TRUE(Values) << core::toString(Values.reason());
+  EXPECT_EQ(Values->m_Leader.m_Polling.m_StopWithin, core::Duration(200));
+  // An environment may not know the value.
+  Values = readSettings(File, {"targets.stop_within_ms="});
+  ASSERT_TRUE(Values) << core::toString(Values.reason());
+  EXPECT_EQ(Values->m_Leader.m_Polling.m_StopWithin, core::Duration(100));
+  for (const char *Wrong :
+       {"targets.stop_within_ms", "stop_within_ms=200", "", "=",
+        "targets.unknown=1", "targets.stop_within_ms=x", "a=b.c=d",
+        "targets.stop_within_ms=1\n[vm]\nid = b"})
+    EXPECT_FALSE(readSettings(File, {Wrong})) << Wrong;
+  std::remove(File.c_str());
+}
