--- a/packages/routing/forward_declarations.h
+++ b/packages/routing/forward_declarations.h
@@ -5,9 +5,13 @@
 namespace fireflydrift::routing {
 
 struct Admission;
+struct ClosedConnection;
+struct ConnectionLoad;
 struct EntryHeartbeats;
 struct Forwarding;
 struct LeaderHeartbeats;
+struct ListenerLimits;
+struct MemoryBudgetOptions;
 struct RetryBudget;
 
 } // namespace fireflydrift::routing
