Bound the memory that HTTP connections hold

Memory was bounded by the number of connections times the largest body. All servers of a process now share a budget of bytes (http.max_buffered_bytes, by default an eighth of the VM's memory from 16 to 64 MiB), a part of which is for targets and operators only (http.operator_percent). A request that completes on such a connection is not handled. Buffers of idle connections are freed, HTTP/2 is off, the receive buffer of a connection is 64 KiB, and malloc returns large buffers to the system.

The new case LeaveRoomForOperators guards the budget itself.

--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -1,10 +1,12 @@
 // The server process; every VM runs the same program.
 #include "platform/platform_api.h"
+#include "runtime/connection_memory.h"
 #include "runtime/events.h"
 #include "runtime/http_api.h"
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 #include <popt.h>
 #include <sys/resource.h>
 
@@ -41,6 +43,15 @@
 
 namespace {
 
+// A listener that the settings configure in addition to the main HTTP API.
+struct PlatformListener {
+  const ListenAddress *m_Address;
+  const char *m_Name;
+  // Whether it may use the operators' part of the memory budget.
+  bool m_ForOperators;
+  HttpHandler m_Handler;
+};
+
 struct Arguments {
   std::string m_SettingsFile;
   std::string m_DataFolder;
@@ -125,30 +136,33 @@
 static core::Outcome<bool>
 openPlatformListeners(Loop &EventLoop, const Settings &Values,
                       const std::shared_ptr<ConnectionBudget> &Budget,
-                      platform::PlatformApi &Api,
+                      platform::PlatformApi &Api, ConnectionMemory &Memory,
                       std::vector<std::unique_ptr<HttpServer>> &Servers) {
   const ListenAddresses &Listen = Values.m_Listen;
-  const std::pair<const ListenAddress *, HttpHandler> Listeners[] = {
-      {&Listen.m_Callers,
+  const PlatformListener Listeners[] = {
+      {&Listen.m_Callers, "callers", false,
        [&](const HttpRequest &Request, Responder Respond) {
          Api.handleQueueRequest(Request, std::move(Respond));
        }},
-      {&Listen.m_Readiness,
+      {&Listen.m_Readiness, "readiness", false,
        [&](const HttpRequest &Request, const Responder &Respond) {
          Api.handleReadiness(Request, Respond);
        }},
-      {&Listen.m_Control, [&](const HttpRequest &Request, Responder Respond) {
+      {&Listen.m_Control, "control", true,
+       [&](const HttpRequest &Request, Responder Respond) {
          Api.handleControl(Request, std::move(Respond));
        }}};
-  for (const auto &[Address, Handler] : Listeners) {
-    if (Address->m_Port == 0)
+  for (const PlatformListener &Each : Listeners) {
+    if (Each.m_Address->m_Port == 0)
       continue;
     HttpServerOptions Options = Values.m_Http;
     Options.m_Budget = Budget;
-    Options.m_Host = Address->m_Host;
-    Options.m_Port = Address->m_Port;
+    Options.m_Host = Each.m_Address->m_Host;
+    Options.m_Port = Each.m_Address->m_Port;
     Servers.push_back(
-        std::make_unique<HttpServer>(EventLoop, Options, Handler));
+        std::make_unique<HttpServer>(EventLoop, Options, Each.m_Handler));
+    Memory.addServer(*Servers.back(), Each.m_Name, Each.m_ForOperators,
+                     Options.m_MaxBodyBytes);
     auto Listening = Servers.back()->listen();
     if (!Listening)
       return Listening.reason();
@@ -169,6 +183,15 @@
                                                   MaxReservedDescriptors)});
 }
 
+// Makes malloc map each large buffer by itself, so that its memory returns to
+// the system when it is freed. By default malloc raises this limit after the
+// first such buffer, and clients' buffers that were closed leave a fragmented
+// heap behind.
+static void returnFreedBuffers() {
+  constexpr int MinMappedBytes = 128 * 1024;
+  (void)mallopt(M_MMAP_THRESHOLD, MinMappedBytes);
+}
+
 static int runServer(const Settings &Values, Tokens InitialTokens,
                      const TokenFiles &Files) {
   Loop EventLoop;
@@ -195,10 +218,13 @@
              {{"reason", core::toString(Listening.reason())}});
     return ExitStartFailed;
   }
+  ConnectionMemory Memory(Values.m_Memory, ThisNode.counters());
+  Memory.addServer(Server, "own", true, Options.m_MaxBodyBytes);
   platform::PlatformApi PlatformEndpoints(ThisNode);
   std::vector<std::unique_ptr<HttpServer>> PlatformServers;
-  auto Opened = openPlatformListeners(EventLoop, Values, Options.m_Budget,
-                                      PlatformEndpoints, PlatformServers);
+  auto Opened =
+      openPlatformListeners(EventLoop, Values, Options.m_Budget,
+                            PlatformEndpoints, Memory, PlatformServers);
   if (!Opened) {
     logEvent(Event::ListenFailed,
              {{"reason", core::toString(Opened.reason())}});
@@ -210,6 +236,7 @@
                             {"version", FIREFLYDRIFT_VERSION}});
   EventLoop.run([&] {
     core::Duration Wait = ThisNode.tick();
+    Memory.check(EventLoop.now());
     if (StopSignals > 0) {
       ThisNode.drain(EventLoop.now());
       Server.drain();
@@ -264,5 +291,6 @@
     return ExitInvalidSettings;
   }
   catchSignals();
+  returnFreedBuffers();
   return runServer(*Values, *std::move(InitialTokens), Files);
 }
--- a/packages/runtime/counters.cpp
+++ b/packages/runtime/counters.cpp
@@ -63,6 +63,13 @@
        "Accelerators free on active targets outside of evacuated failure "
        "domains"},
       {"fireflydrift_held_requests", "Requests this VM holds for callers"},
+      {"fireflydrift_http_buffered_bytes",
+       "Bytes that HTTP connections hold by listener"},
+      {"fireflydrift_http_buffered_peak_bytes",
+       "Most bytes that HTTP connections held at once"},
+      {"fireflydrift_http_closed_total",
+       "HTTP connections closed for the memory they held, by listener and "
+       "cause"},
       {"fireflydrift_jobs", "Jobs by outcome"},
       {"fireflydrift_jobs_accepted_total", "Requests accepted through this VM"},
       {"fireflydrift_journal_bytes_total", "Bytes written to the data folder"},
--- a/packages/runtime/events.cpp
+++ b/packages/runtime/events.cpp
@@ -31,6 +31,7 @@
       {Event::ListenFailed, Severity::Error, "listen_failed"},
       {Event::TokensReloaded, Severity::Info, "tokens_reloaded"},
       {Event::LinesLeftOut, Severity::Warning, "lines_left_out"},
+      {Event::ClientsClosed, Severity::Warning, "clients_closed"},
       {Event::JobAccepted, Severity::Info, "job_accepted"},
       {Event::JobPlaced, Severity::Info, "job_placed"},
       {Event::JobWaiting, Severity::Info, "job_waiting"},
--- a/packages/runtime/events.h
+++ b/packages/runtime/events.h
@@ -21,6 +21,7 @@
   ListenFailed = 1005,
   TokensReloaded = 1006,
   LinesLeftOut = 1007,
+  ClientsClosed = 1008,
   JobAccepted = 2001,
   JobPlaced = 2002,
   JobWaiting = 2003,
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -4,18 +4,47 @@
 #include "runtime/sockets.h"
 
 #include <algorithm>
+#include <linux/tcp.h>
 #include <openssl/ssl.h>
 #include <sstream>
+#include <sys/socket.h>
 #include <utility>
 
 namespace fireflydrift::runtime {
 
+// Receive buffer of a connection in the kernel. Bounds what one iteration of
+// the loop can read from a client that sends faster than it is read.
+static constexpr int ReceiveBufferBytes = 64 * 1024;
+
 namespace {
 
+// An open connection, which h2o owns.
+struct Connection {
+  void *m_Server = nullptr;
+  h2o_socket_t *m_Socket = nullptr;
+  std::uint64_t m_Id = 0;
+  core::Time m_Since;
+  // A copy of the body of the request that is being handled.
+  std::size_t m_BodyBytes = 0;
+  std::size_t m_ResponseBytes = 0;
+  // Largest capacity of its input buffer so far.
+  std::size_t m_LargestInput = 0;
+  // Bytes that the client had acknowledged at m_Since.
+  std::uint64_t m_AcknowledgedBytes = 0;
+  bool m_Handling = false;
+  bool m_Responding = false;
+  bool m_Closing = false;
+};
+
+// By id; the addresses of entries are stable.
+using Connections = std::map<std::uint64_t, Connection>;
+
 // Links an h2o request to its response callback. The pointer is null once the
 // request was answered or h2o freed it.
 struct RequestLink {
   h2o_req_t *m_Request = nullptr;
+  Connections *m_Connections = nullptr;
+  std::uint64_t m_Connection = 0;
 };
 
 struct H2oHandler {
@@ -34,11 +63,14 @@
   h2o_context_t m_Context{};
   h2o_accept_ctx_t m_Accept{};
   h2o_socket_t *m_Listener = nullptr;
-  std::size_t m_Connections = 0;
+  Connections m_Connections;
+  std::uint64_t m_LastId = 0;
   bool m_Draining = false;
+  bool m_Accepting = true;
 
   [[nodiscard]] bool mayAccept() const;
-  void count(int Change);
+  void open(h2o_socket_t *Socket);
+  void respond(RequestLink &Link, const HttpResponse &Value) const;
 
   static int onRequest(h2o_handler_t *Base, h2o_req_t *Request);
   static void onAccept(h2o_socket_t *Listener, const char *Error);
@@ -170,24 +202,64 @@
   h2o_send_inline(Request, Value.m_Body.data(), Value.m_Body.size());
 }
 
+static Connection *find(Connections &All, std::uint64_t Id) {
+  auto Found = All.find(Id);
+  return Found == All.end() ? nullptr : &Found->second;
+}
+
 static void detachRequest(void *Memory) {
   auto *Link = static_cast<std::shared_ptr<RequestLink> *>(Memory);
   (*Link)->m_Request = nullptr;
+  if (Connection *Ended =
+          find(*(*Link)->m_Connections, (*Link)->m_Connection)) {
+    Ended->m_BodyBytes = 0;
+    Ended->m_ResponseBytes = 0;
+    Ended->m_Handling = false;
+    Ended->m_Responding = false;
+  }
   std::destroy_at(Link);
 }
 
+static Connection &connectionOf(h2o_req_t *Request) {
+  h2o_socket_t *Socket = Request->conn->callbacks->get_socket(Request->conn);
+  return *static_cast<Connection *>(Socket->on_close.data);
+}
+
+void HttpServer::Impl::respond(RequestLink &Link,
+                               const HttpResponse &Value) const {
+  h2o_req_t *Pending = std::exchange(Link.m_Request, nullptr);
+  if (!Pending)
+    return;
+  Connection &From = connectionOf(Pending);
+  From.m_BodyBytes = 0;
+  From.m_ResponseBytes = Value.m_Body.size();
+  From.m_Handling = false;
+  From.m_Responding = true;
+  From.m_Since = m_Loop.now();
+  sendResponse(Pending, Value, m_Draining || Value.m_Close);
+}
+
 int HttpServer::Impl::onRequest(h2o_handler_t *Base, h2o_req_t *Request) {
   auto *Self = reinterpret_cast<H2oHandler *>(Base)->m_Server->m_Impl.get();
-  auto Link = std::make_shared<RequestLink>(RequestLink{.m_Request = Request});
+  Connection &From = connectionOf(Request);
+  auto Link = std::make_shared<RequestLink>(
+      RequestLink{.m_Request = Request,
+                  .m_Connections = &Self->m_Connections,
+                  .m_Connection = From.m_Id});
   void *Memory = h2o_mem_alloc_shared(
       &Request->pool, sizeof(std::shared_ptr<RequestLink>), detachRequest);
   new (Memory) std::shared_ptr<RequestLink>(Link);
+  // The rest of the request arrived after the connection was closed. It must
+  // not run, because its client was refused.
+  if (From.m_Closing) {
+    Self->respond(*Link, {.m_Status = 503, .m_Close = true});
+    return 0;
+  }
+  From.m_Handling = true;
+  From.m_BodyBytes = Request->entity.len;
   Self->m_Handler(
-      readRequest(Request), [Self, Link](const HttpResponse &Value) {
-        h2o_req_t *Pending = std::exchange(Link->m_Request, nullptr);
-        if (Pending)
-          sendResponse(Pending, Value, Self->m_Draining || Value.m_Close);
-      });
+      readRequest(Request),
+      [Self, Link](const HttpResponse &Value) { Self->respond(*Link, Value); });
   return 0;
 }
 
@@ -202,18 +274,28 @@
 
 bool HttpServer::Impl::mayAccept() const {
   const std::shared_ptr<ConnectionBudget> &Budget = m_Options.m_Budget;
-  return m_Connections < m_Options.m_MaxConnections &&
+  return m_Accepting && m_Connections.size() < m_Options.m_MaxConnections &&
          (!Budget || Budget->m_Open < Budget->m_Limit);
 }
 
-void HttpServer::Impl::count(int Change) {
-  m_Connections += static_cast<std::size_t>(Change);
+void HttpServer::Impl::open(h2o_socket_t *Socket) {
+  Connection &Opened = m_Connections[++m_LastId];
+  Opened = {.m_Server = this,
+            .m_Socket = Socket,
+            .m_Id = m_LastId,
+            .m_Since = m_Loop.now()};
   if (m_Options.m_Budget)
-    m_Options.m_Budget->m_Open += static_cast<std::size_t>(Change);
+    ++m_Options.m_Budget->m_Open;
+  Socket->on_close.cb = onClose;
+  Socket->on_close.data = &Opened;
 }
 
 void HttpServer::Impl::onClose(void *Data) {
-  static_cast<Impl *>(Data)->count(-1);
+  auto *Closed = static_cast<Connection *>(Data);
+  auto *Self = static_cast<Impl *>(Closed->m_Server);
+  if (Self->m_Options.m_Budget)
+    --Self->m_Options.m_Budget->m_Open;
+  Self->m_Connections.erase(Closed->m_Id);
 }
 
 void HttpServer::Impl::onAccept(h2o_socket_t *Listener, const char *Error) {
@@ -227,13 +309,104 @@
       h2o_socket_close(Socket);
       continue;
     }
-    Self->count(1);
-    Socket->on_close.cb = onClose;
-    Socket->on_close.data = Self;
+    Self->open(Socket);
     h2o_accept(&Self->m_Accept, Socket);
   }
 }
 
+// ---- Memory ----------------------------------------------------------------
+
+// Bytes that the client has acknowledged since the connection opened.
+static std::uint64_t acknowledgedBytes(h2o_socket_t *Socket) {
+  tcp_info Info{};
+  socklen_t Length = sizeof(Info);
+  (void)getsockopt(h2o_socket_get_fd(Socket), IPPROTO_TCP, TCP_INFO, &Info,
+                   &Length);
+  return Info.tcpi_bytes_acked;
+}
+
+// Capacity of the input buffer with which each connection starts.
+static std::size_t initialCapacity() {
+  return h2o_socket_buffer_prototype._initial_buf.capacity;
+}
+
+// Frees the buffer that an earlier request left behind on an idle connection.
+// An incomplete request is never concerned, as its data stays in the buffer.
+static void releaseIdleBuffer(const Connection &Value) {
+  h2o_buffer_t *&Input = Value.m_Socket->input;
+  bool Idle = !Value.m_Handling && !Value.m_Responding && Input->size == 0;
+  if (!Idle || Input->capacity <= initialCapacity())
+    return;
+  h2o_buffer_dispose(&Input);
+  h2o_buffer_init(&Input, &h2o_socket_buffer_prototype);
+}
+
+// Estimate of the buffer for encrypted input, which h2o doesn't show and keeps
+// until the connection ends. Without it, 60 clients that sent chunks over TLS
+// held 40 MiB more than was counted.
+static std::size_t encryptedBytes(const Connection &Value) {
+  constexpr std::size_t Max = std::size_t{512} * 1024;
+  if (!Value.m_Socket->ssl)
+    return 0;
+  return std::min(Value.m_LargestInput, Max);
+}
+
+// What the connection holds beyond the buffer that each connection has. That
+// one is bounded by the number of connections.
+static std::size_t heldBytes(Connection &Value) {
+  std::size_t Capacity = Value.m_Socket->input->capacity;
+  std::size_t Grown = Capacity - std::min(Capacity, initialCapacity());
+  Value.m_LargestInput = std::max(Value.m_LargestInput, Grown);
+  return Grown + encryptedBytes(Value) + Value.m_BodyBytes +
+         Value.m_ResponseBytes;
+}
+
+// Notes whether the client has read a part of its response since m_Since. Asks
+// the kernel only once the time limit is reached, as most responses are read
+// long before.
+static void updateProgress(Connection &Value, core::Duration Limit,
+                           core::Time Now) {
+  if (!Value.m_Responding || Now - Value.m_Since < Limit)
+    return;
+  std::uint64_t Acknowledged = acknowledgedBytes(Value.m_Socket);
+  if (Acknowledged == Value.m_AcknowledgedBytes)
+    return;
+  Value.m_AcknowledgedBytes = Acknowledged;
+  Value.m_Since = Now;
+}
+
+std::vector<routing::ConnectionLoad> HttpServer::measure(std::size_t Index,
+                                                         core::Time Now) {
+  std::vector<routing::ConnectionLoad> Loads;
+  Loads.reserve(m_Impl->m_Connections.size());
+  for (auto &[Id, Each] : m_Impl->m_Connections) {
+    if (Each.m_Closing)
+      continue;
+    releaseIdleBuffer(Each);
+    updateProgress(Each, m_Impl->m_Options.m_RequestTimeout, Now);
+    Loads.push_back({.m_Id = Id,
+                     .m_Listener = Index,
+                     .m_Bytes = heldBytes(Each),
+                     .m_Since = Each.m_Since,
+                     .m_Handling = Each.m_Handling,
+                     .m_Responding = Each.m_Responding});
+  }
+  return Loads;
+}
+
+void HttpServer::closeConnection(std::uint64_t Id) {
+  Connection *Found = find(m_Impl->m_Connections, Id);
+  if (!Found)
+    return;
+  Found->m_Closing = true;
+  // h2o owns the socket and frees it when it finds the connection shut down.
+  (void)shutdown(h2o_socket_get_fd(Found->m_Socket), SHUT_RDWR);
+}
+
+void HttpServer::setAccepting(bool Accepting) noexcept {
+  m_Impl->m_Accepting = Accepting;
+}
+
 // ---- Construction ----------------------------------------------------------
 
 HttpServer::HttpServer(Loop &EventLoop, HttpServerOptions Options,
@@ -245,6 +418,8 @@
   m_Impl->m_Config.max_request_entity_size = m_Impl->m_Options.m_MaxBodyBytes;
   m_Impl->m_Config.http1.req_timeout =
       static_cast<std::uint64_t>(m_Impl->m_Options.m_RequestTimeout.count());
+  // Not part of the interface, and one connection could buffer many requests.
+  m_Impl->m_Config.http1.upgrade_to_http2 = 0;
   m_Impl->m_Config.server_name = h2o_iovec_init(H2O_STRLIT("fireflydrift"));
   constexpr std::uint16_t AnyPort = 65535;
   h2o_hostconf_t *Host = h2o_config_register_host(
@@ -291,6 +466,9 @@
     return Opened.reason();
   m_Impl->m_Listener =
       watch(m_Impl->m_Loop, *Opened, m_Impl.get(), Impl::onAccept);
+  // Accepted sockets inherit it.
+  (void)setsockopt(*Opened, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
+                   sizeof(ReceiveBufferBytes));
   return true;
 }
 
@@ -304,7 +482,7 @@
 }
 
 std::size_t HttpServer::openConnections() const noexcept {
-  return m_Impl->m_Connections;
+  return m_Impl->m_Connections.size();
 }
 
 void HttpServer::drain() noexcept { m_Impl->m_Draining = true; }
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -3,10 +3,12 @@
 #define FIREFLYDRIFT_RUNTIME_HTTP_SERVER_H
 
 #include "core/outcome.h"
+#include "routing/memory_budget.h"
 #include "runtime/loop.h"
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace fireflydrift::runtime {
 
@@ -101,6 +103,15 @@
   [[nodiscard]] std::uint16_t port() const noexcept;
   // Number of open connections.
   [[nodiscard]] std::size_t openConnections() const noexcept;
+  // What each connection holds at Now, without those being closed. Releases the
+  // buffers of idle connections.
+  [[nodiscard]] std::vector<routing::ConnectionLoad> measure(std::size_t Index,
+                                                             core::Time Now);
+  // Closes a connection. A request that has not been handled until then is
+  // never handled. Does nothing when the connection has ended.
+  void closeConnection(std::uint64_t Id);
+  // While false, new connections are closed at once.
+  void setAccepting(bool Accepting) noexcept;
   // From now on, closes each connection after the next response on it.
   void drain() noexcept;
 
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <ini.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace fireflydrift::runtime {
 
@@ -178,7 +179,16 @@
        number<std::size_t>(PART(m_Http.m_MaxBodyBytes), 1024, 16 << 20)},
       {{"http", "max_connections", "Connections open at once"},
        number<std::size_t>(PART(m_Http.m_MaxConnections), 1, 65536)},
-      {{"http", "request_timeout_ms", "Time a client has to send a request"},
+      {{"http", "max_buffered_bytes",
+        "Bytes that all connections of the process may hold together; by "
+        "default an eighth of the VM's memory, from 16 to 64 MiB"},
+       number<std::size_t>(PART(m_Memory.m_MaxBytes), 1 << 20, 1 << 30)},
+      {{"http", "operator_percent",
+        "Percentage of max_buffered_bytes that only the listeners for targets "
+        "and operators may use"},
+       number<std::uint32_t>(PART(m_Memory.m_OperatorPercent), 1, 75)},
+      {{"http", "request_timeout_ms",
+        "Time a client has to send a request, and to go on reading a response"},
        duration(PART(m_Http.m_RequestTimeout), 100, 10 * MinuteMs)},
       {{"http", "certificate", "PEM file; enables TLS together with key"},
        text(PART(m_Http.m_Certificate))},
@@ -399,6 +409,37 @@
   }
 }
 
+static std::size_t vmMemoryBytes() {
+  return static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES)) *
+         static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// Completes the memory budget and checks that callers' part of it has room for
+// the largest request. Without a value the default is raised to fit that.
+static void completeMemoryBudget(ParseState &State) {
+  routing::MemoryBudgetOptions &Memory = State.m_Settings.m_Memory;
+  Memory.m_ResponseTimeout = State.m_Settings.m_Http.m_RequestTimeout;
+  // A buffer of up to twice the size of the request, and a copy of its body.
+  constexpr std::size_t BodiesPerRequest = 4;
+  std::size_t Needed =
+      State.m_Settings.m_Http.m_MaxBodyBytes * BodiesPerRequest;
+  bool IsDefault = Memory.m_MaxBytes == 0;
+  if (IsDefault)
+    Memory.m_MaxBytes = routing::defaultMemoryBudget(vmMemoryBytes());
+  std::size_t Callers = routing::callersBudget(Memory);
+  if (Callers >= Needed)
+    return;
+  if (IsDefault) {
+    constexpr std::size_t Percent = 100;
+    Memory.m_MaxBytes =
+        Needed * Percent / (Percent - Memory.m_OperatorPercent) + Percent;
+    return;
+  }
+  State.fail("http.max_buffered_bytes", State.lineOf("http.max_buffered_bytes"),
+             "less operator_percent must be at least four times "
+             "max_body_bytes");
+}
+
 // Checks that required keys are set and that keys agree with each other. Also
 // completes m_Self from the list of VMs, and that list from the seeds.
 static void validateCombinations(ParseState &State) {
@@ -432,6 +473,7 @@
   if (Value.m_Http.m_Certificate.empty() != Value.m_Http.m_Key.empty())
     State.fail("http.key", State.lineOf("http.key"),
                "certificate and key must be set together");
+  completeMemoryBudget(State);
   std::size_t Replicas = 0;
   std::set<std::string> Domains;
   for (const membership::VmAddress &Each : Value.m_Vms) {
--- a/packages/runtime/settings.h
+++ b/packages/runtime/settings.h
@@ -6,6 +6,7 @@
 #include "membership/membership.h"
 #include "replica/replica.h"
 #include "routing/admission.h"
+#include "routing/memory_budget.h"
 #include "runtime/events.h"
 #include "runtime/http_server.h"
 
@@ -49,6 +50,8 @@
   std::uint64_t m_SnapshotIntervalEntries = 5000;
   replica::ReplicaOptions m_Replica;
   HttpServerOptions m_Http;
+  // Without its listeners, which the process adds.
+  routing::MemoryBudgetOptions m_Memory;
   routing::AdmissionOptions m_Admission;
   control::LeaderOptions m_Leader;
   core::Duration m_HeartbeatInterval{500};
--- a/tests/runtime/http_server_test.cpp
+++ b/tests/runtime/http_server_test.cpp
@@ -4,6 +4,8 @@
 
 #include "runtime/address.h"
 
+#include <algorithm>
+#include <csignal>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,6 +18,8 @@
 class HttpServerOnLoopback : public testing::Test {
 protected:
   void SetUp() override {
+    // As the process does: h2o may write to a connection that was closed.
+    std::signal(SIGPIPE, SIG_IGN);
     // Never deleted: the h2o loop is never destroyed, neither here nor in a
     // process, and keeps pointers to the server.
     m_Server = new HttpServer(
@@ -27,7 +31,10 @@
          .m_RequestTimeout = core::Duration(300)},
         [this](const HttpRequest &Request, const Responder &Respond) {
           ++m_Handled;
-          Respond({.m_Body = Request.m_Body, .m_Close = m_Close});
+          if (m_Hold)
+            m_Held = Respond;
+          else
+            Respond({.m_Body = Request.m_Body, .m_Close = m_Close});
         });
     ASSERT_TRUE(m_Server->listen());
   }
@@ -35,6 +42,16 @@
   std::shared_ptr<ConnectionBudget> m_Budget =
       std::make_shared<ConnectionBudget>(ConnectionBudget{.m_Limit = 100});
   bool m_Close = false;
+  // Keeps the next responder instead of calling it.
+  bool m_Hold = false;
+  Responder m_Held;
+
+  // What the only connection holds.
+  routing::ConnectionLoad onlyLoad(core::Time Now) {
+    auto Loads = m_Server->measure(0, Now);
+    EXPECT_EQ(Loads.size(), 1U);
+    return Loads.empty() ? routing::ConnectionLoad() : Loads[0];
+  }
 
   int connect() {
     int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
@@ -158,3 +175,118 @@
   tick(10);
   EXPECT_EQ(m_Server->openConnections(), 0U);
 }
+
+// Guards against a request that runs although its client was refused: the rest
+// of it may have arrived before the connection is shut down.
+TEST_F(HttpServerOnLoopback, ClosesAConnectionWithoutHandlingItsRequest) {
+  // The capacity with which h2o's buffers start.
+  constexpr std::size_t Initial = 8192;
+  int Socket = connect();
+  std::string Start =
+      "POST /x HTTP/1.1\r\nhost: x\r\nx-large: " + std::string(Initial, 'x');
+  (void)!write(Socket, Start.data(), Start.size());
+  tick(5);
+  routing::ConnectionLoad Load = onlyLoad(m_Loop.now());
+  EXPECT_GE(Load.m_Bytes, Initial);
+  EXPECT_FALSE(Load.m_Handling);
+  std::string Rest = "\r\ncontent-length: 0\r\n\r\n";
+  (void)!write(Socket, Rest.data(), Rest.size());
+  m_Server->closeConnection(Load.m_Id);
+  EXPECT_TRUE(m_Server->measure(0, m_Loop.now()).empty());
+  tick(10);
+  EXPECT_EQ(m_Handled, 0);
+  EXPECT_EQ(m_Server->openConnections(), 0U);
+  EXPECT_EQ(m_Budget->m_Open, 0U);
+  m_Server->closeConnection(Load.m_Id);
+  close(Socket);
+}
+
+// Guards against the buffer of a large request staying with each connection
+// that is kept open after it.
+TEST_F(HttpServerOnLoopback, ReleasesTheBufferOfAnIdleConnection) {
+  constexpr std::size_t HeaderBytes = 10000;
+  int Socket = connect();
+  std::string Large = "GET /x HTTP/1.1\r\nhost: x\r\nx-large: " +
+                      std::string(HeaderBytes, 'x') + "\r\n\r\n";
+  for (int I = 0; I < 2; ++I) {
+    EXPECT_NE(sendAndReceive(Socket, Large).find("200"), std::string::npos);
+    tick(2);
+    EXPECT_EQ(onlyLoad(m_Loop.now()).m_Bytes, 0U);
+  }
+  EXPECT_EQ(m_Handled, 2);
+  close(Socket);
+}
+
+TEST_F(HttpServerOnLoopback, MeasuresRequestsThatAreHandled) {
+  m_Hold = true;
+  int Socket = connect();
+  (void)!write(Socket, ValidRequest.data(), ValidRequest.size());
+  tick(5);
+  EXPECT_TRUE(onlyLoad(m_Loop.now()).m_Handling);
+  EXPECT_EQ(onlyLoad(m_Loop.now()).m_Bytes, 5U);
+  m_Held({});
+  tick(5);
+  EXPECT_FALSE(onlyLoad(m_Loop.now()).m_Handling);
+  EXPECT_FALSE(onlyLoad(m_Loop.now()).m_Responding);
+  close(Socket);
+}
+
+// Guards against responses that are held for ever because nobody reads them.
+TEST_F(HttpServerOnLoopback, MeasuresResponsesThatAreNotRead) {
+  constexpr std::size_t ResponseBytes = 32 << 20;
+  m_Hold = true;
+  int Socket = connect();
+  (void)!write(Socket, ValidRequest.data(), ValidRequest.size());
+  tick(5);
+  m_Held({.m_Body = std::string(ResponseBytes, 'x')});
+  tick(5);
+  routing::ConnectionLoad Load = onlyLoad(m_Loop.now());
+  EXPECT_TRUE(Load.m_Responding);
+  EXPECT_GE(Load.m_Bytes, ResponseBytes);
+  constexpr core::Duration Limit{300};
+  // The client has taken what fits into the buffers of the kernel.
+  core::Time Later = Load.m_Since + Limit;
+  EXPECT_EQ(onlyLoad(Later).m_Since, Later);
+  EXPECT_EQ(onlyLoad(Later + Limit).m_Since, Later);
+  std::string Buffer(1 << 20, ' ');
+  // A part of it, more than the kernel had buffered.
+  for (std::size_t Left = ResponseBytes / 4; Left > 0;) {
+    ssize_t Count = read(Socket, Buffer.data(), std::min(Buffer.size(), Left));
+    Left -= static_cast<std::size_t>(std::max<ssize_t>(Count, 0));
+    tick(1);
+  }
+  EXPECT_TRUE(onlyLoad(Later).m_Responding);
+  EXPECT_EQ(onlyLoad(Later + Limit).m_Since, Later + Limit);
+  m_Server->closeConnection(Load.m_Id);
+  tick(10);
+  EXPECT_EQ(m_Server->openConnections(), 0U);
+  close(Socket);
+}
+
+TEST_F(HttpServerOnLoopback, AcceptsNothingWhileThereIsNoRoom) {
+  m_Server->setAccepting(false);
+  int Refused = connect();
+  EXPECT_EQ(m_Server->openConnections(), 0U);
+  m_Server->setAccepting(true);
+  int Accepted = connect();
+  EXPECT_EQ(m_Server->openConnections(), 1U);
+  close(Refused);
+  close(Accepted);
+}
+
+// HTTP/2 is not part of the interface, and multiplies what one connection may
+// buffer.
+TEST_F(HttpServerOnLoopback, OffersNoHttp2) {
+  int Socket = connect();
+  std::string Response =
+      sendAndReceive(Socket, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+  EXPECT_TRUE(Response.starts_with("HTTP/1.1 400")) << Response;
+  int Upgrading = connect();
+  Response = sendAndReceive(Upgrading,
+                            "GET /x HTTP/1.1\r\nhost: x\r\n"
+                            "connection: upgrade, http2-settings\r\n"
+                            "upgrade: h2c\r\nhttp2-settings: AAMAAABk\r\n\r\n");
+  EXPECT_TRUE(Response.starts_with("HTTP/1.1 200")) << Response;
+  close(Socket);
+  close(Upgrading);
+}
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -112,3 +112,29 @@
   EXPECT_NE(core::toString(Values.reason()).find("mutually exclusive"),
             std::string::npos);
 }
+
+// Guards against a budget with less room than one permitted request needs: each
+// such request would be closed.
+TEST(Settings, MemoryBudgetHasRoomForTheLargestRequest) {
+  auto With = [](const std::string &Lines) {
+    std::string Text = ValidText;
+    Text.insert(Text.find("[replica]"), Lines);
+    return parseSettings(Text, "x");
+  };
+  constexpr std::size_t MiB = std::size_t{1} << 20;
+  auto Default = With("");
+  ASSERT_TRUE(Default);
+  EXPECT_GE(Default->m_Memory.m_MaxBytes, 16 * MiB);
+  EXPECT_LE(Default->m_Memory.m_MaxBytes, 64 * MiB);
+  EXPECT_EQ(Default->m_Memory.m_OperatorPercent, 25U);
+  EXPECT_TRUE(With("max_buffered_bytes = 8388608\n"));
+  auto Small = With("max_buffered_bytes = 4194304\n");
+  ASSERT_FALSE(Small);
+  EXPECT_EQ(Small.reason().m_Field, "x:6 http.max_buffered_bytes");
+  EXPECT_TRUE(With("max_buffered_bytes = 4194304\nmax_body_bytes = 262144\n"));
+  auto Raised = With("max_body_bytes = 16777216\n");
+  ASSERT_TRUE(Raised);
+  EXPECT_GE(routing::callersBudget(Raised->m_Memory), 64 * MiB);
+  EXPECT_FALSE(With("operator_percent = 76\n"));
+  EXPECT_FALSE(With("max_buffered_bytes = 1000\n"));
+}
--- a/tests/system/untrusted_clients_test.cpp
+++ b/tests/system/untrusted_clients_test.cpp
@@ -324,6 +324,23 @@
   }
 }
 
+// Whether an ordinary request gets an answer, of any status. The server may
+// refuse some connections, so it is tried again.
+bool answers(Daemon &Process, const std::string &Host, std::uint16_t Port,
+             SSL_CTX *Tls) {
+  constexpr int Attempts = 100;
+  constexpr int PauseMs = 100;
+  for (int I = 0; I < Attempts && Process.isAlive(); ++I) {
+    Client Ordinary(Host, Port, Tls);
+    if (Ordinary.isOpen())
+      Ordinary.send("GET /v1/health HTTP/1.1\r\nhost: x\r\n\r\n");
+    if (Ordinary.receive().starts_with("HTTP/1.1 "))
+      return true;
+    (void)poll(nullptr, 0, PauseMs);
+  }
+  return false;
+}
+
 class UntrustedClients
     : public testing::TestWithParam<std::tuple<Target, Load>> {
 protected:
@@ -338,26 +355,10 @@
                                   SSL_MODE_ACCEPT_MOVING_WRITE_BUFFER);
     m_Daemon = std::make_unique<Daemon>(
         settingsText(m_Host, m_Files, Listener.m_Tls), m_Files);
-    ASSERT_TRUE(answers());
+    ASSERT_TRUE(answers(*m_Daemon, m_Host, Listener.m_Port, m_Tls));
   }
   void TearDown() override { SSL_CTX_free(m_Tls); }
 
-  // Whether an ordinary request gets an answer, of any status. The server may
-  // refuse some connections, so it is tried again.
-  bool answers() {
-    constexpr int Attempts = 100;
-    constexpr int PauseMs = 100;
-    for (int I = 0; I < Attempts && m_Daemon->isAlive(); ++I) {
-      Client Ordinary(m_Host, std::get<0>(GetParam()).m_Port, m_Tls);
-      if (Ordinary.isOpen())
-        Ordinary.send("GET /v1/health HTTP/1.1\r\nhost: x\r\n\r\n");
-      if (Ordinary.receive().starts_with("HTTP/1.1 "))
-        return true;
-      (void)poll(nullptr, 0, PauseMs);
-    }
-    return false;
-  }
-
   std::string m_Host = uniqueHost();
   Folder m_Files;
   SSL_CTX *m_Tls = nullptr;
@@ -381,10 +382,43 @@
   std::cout << "growth " << Growth / KiB << " KiB\n";
   EXPECT_LT(Growth, MaxGrowth);
   EXPECT_LT(m_Daemon->descriptors(), Sent.m_Clients + MaxOtherDescriptors);
-  EXPECT_TRUE(answers());
+  EXPECT_TRUE(answers(*m_Daemon, m_Host, Listener.m_Port, m_Tls));
   EXPECT_TRUE(m_Daemon->isAlive());
 }
 
+// Guards against clients on the callers' address that use up what targets and
+// operators need: with all of the callers' part used, a large request on the
+// control listener is still read to its end.
+TEST(UntrustedCallers, LeaveRoomForOperators) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string Host = uniqueHost();
+  Folder Files;
+  Daemon Process(settingsText(Host, Files, false), Files);
+  ASSERT_TRUE(answers(Process, Host, CallersPort, nullptr));
+  std::vector<Load> Loads = allLoads();
+  auto Unfinished =
+      std::find_if(Loads.begin(), Loads.end(), [](const Load &Each) {
+        return std::string(Each.m_Name) == "UnfinishedBodies";
+      });
+  std::vector<std::unique_ptr<Client>> Clients;
+  for (std::size_t I = 0; I < Unfinished->m_Clients; ++I)
+    Clients.push_back(std::make_unique<Client>(Host, CallersPort, nullptr));
+  run(*Unfinished, Clients);
+  std::vector<std::unique_ptr<Client>> Operator;
+  Operator.push_back(std::make_unique<Client>(Host, ControlPort, nullptr));
+  constexpr std::size_t BodyBytes = 3 * MiB;
+  Load Request{.m_Name = "OneRequest",
+               .m_Start = "PUT /-/configuration HTTP/1.1\r\nhost: x\r\n"
+                          "content-length: " +
+                          std::to_string(BodyBytes) + "\r\n\r\n",
+               .m_Filler = "x",
+               .m_TotalBytes = 0};
+  Request.m_TotalBytes = Request.m_Start.size() + BodyBytes;
+  run(Request, Operator);
+  EXPECT_EQ(Operator[0]->sent(), Request.m_TotalBytes);
+  EXPECT_TRUE(Operator[0]->receive().starts_with("HTTP/1.1 "));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     All, UntrustedClients,
     testing::Combine(testing::ValuesIn(allTargets()),
