--- a/packages/runtime/forward_declarations.h
+++ b/packages/runtime/forward_declarations.h
@@ -4,6 +4,7 @@
 
 namespace fireflydrift::runtime {
 
+class ConnectionMemory;
 class Counters;
 class HttpClient;
 class HttpServer;
