Close the gaps that a review of the change found

- A request for the state in force gets a revision, so that an older, slower request for the other state can't take effect after it was acknowledged.
- A new leader stopped running jobs in an evacuated domain instead of repeating their start calls.
- A new leader that has not heard from the targets answers 503 instead of 404 for a domain that it does not know yet; the decision is in control.
- The maximum for one connection is that of a request and no longer applies to a response.

--- a/packages/assignment/delay_cost.h
+++ b/packages/assignment/delay_cost.h
@@ -1,6 +1,6 @@
-// What it costs callers when a waiting step is delayed. Answers the load under
-// which not all waiting work can be done in time: the work that is then delayed
-// should be that which costs its callers least.
+// What it costs callers when a waiting step is delayed. Used under overload,
+// when not all waiting work can be done in time: work whose delay costs its
+// callers least is delayed first.
 #ifndef FIREFLYDRIFT_ASSIGNMENT_DELAY_COST_H
 #define FIREFLYDRIFT_ASSIGNMENT_DELAY_COST_H
 
--- a/packages/assignment/pass.h
+++ b/packages/assignment/pass.h
@@ -12,8 +12,9 @@
 // Options of a pass. The defaults are the policy of the product.
 struct PassOptions {
   Order m_Order = orderByUrgency;
-  // Whether preemption weighs the work that is lost by the value of its result.
-  bool m_WeighLostWork = false;
+  // Whether preemption weights the work that is lost by the value of its
+  // result.
+  bool m_WeightLossByValue = false;
   // Whether urgent work may preempt other work.
   bool m_AllowPreemption = true;
   // False while the list of targets may be incomplete. Then nothing is done
--- a/packages/assignment/preemption.cpp
+++ b/packages/assignment/preemption.cpp
@@ -27,7 +27,7 @@
       auto Lost = static_cast<double>(
           Each.m_UnsavedRunTime.count() *
           std::max<std::int64_t>(Each.m_Capacity.m_Accelerators, 1));
-      Unit.m_Cost += static_cast<std::int64_t>(Lost * Each.m_Value);
+      Unit.m_Cost += static_cast<std::int64_t>(Lost * Each.m_ResultValue);
     }
   std::vector<Victim> Found;
   Found.reserve(Units.size());
--- a/packages/assignment/view.h
+++ b/packages/assignment/view.h
@@ -18,9 +18,9 @@
   core::Time m_ExpectedEnd;
   // Upper bound of the run time that is lost if the task is stopped now.
   core::Duration m_UnsavedRunTime{0};
-  // Value of the workflow's result, by which the work that is lost is weighed;
+  // Value of the workflow's result, by which the work that is lost is weighted;
   // 1 where all work counts the same.
-  double m_Value = 1;
+  double m_ResultValue = 1;
   // True for a member of a gang, which is stopped as a whole.
   bool m_Gang = false;
   // True for urgent work within the capacity reserved for its workspace.
--- a/packages/control/dispatcher.cpp
+++ b/packages/control/dispatcher.cpp
@@ -186,11 +186,13 @@
 }
 
 // True when a start call must not be sent or repeated, because the target's
-// failure domain is evacuated.
+// failure domain is evacuated. A job that an earlier leader has started runs
+// on: targets take a repeated call for the same start.
 static bool isStartForbidden(const State &Current, const JobCalls &Calls,
                              const core::TargetId &Id) {
   const placement::TargetUsage *Usage = Current.m_Indexes.m_Fleet.find(Id);
-  return Calls.m_Verb == Verb::Start && Usage && Usage->m_Evacuated;
+  return Calls.m_Verb == Verb::Start && !Calls.m_FromEarlierLeader && Usage &&
+         Usage->m_Evacuated;
 }
 
 DispatchStep sendDueCalls(Dispatcher Before, const State &Current,
--- a/packages/control/operation.cpp
+++ b/packages/control/operation.cpp
@@ -366,16 +366,6 @@
 
 // ---- Evacuations -----------------------------------------------------------
 
-bool hasTargetsIn(const State &Current, const std::string &FailureDomain) {
-  const Tables &Stored = Current.m_Tables;
-  return Stored.m_Evacuations.revisionOf(FailureDomain) != 0 ||
-         std::any_of(Stored.m_Targets.begin(), Stored.m_Targets.end(),
-                     [&](const auto &Each) {
-                       return Each.second.announcement().m_FailureDomain ==
-                              FailureDomain;
-                     });
-}
-
 static EvacuationsView viewOf(const evacuation::Evacuations &Value) {
   return {.m_Domains = Value.fields().m_Domains};
 }
--- a/packages/control/operation.h
+++ b/packages/control/operation.h
@@ -232,11 +232,6 @@
                                     const Operation &Value,
                                     const core::Reason &Result);
 
-// True when the state holds a target of the failure domain that has announced
-// itself, or a record of the domain's evacuation.
-[[nodiscard]] bool hasTargetsIn(const State &Current,
-                                const std::string &FailureDomain);
-
 // The job's current state as shown to its caller.
 [[nodiscard]] JobView viewOf(const job::Job &Value);
 
--- a/packages/control/orders.cpp
+++ b/packages/control/orders.cpp
@@ -23,7 +23,7 @@
 
 static void addStarts(const PollingState &Polling, const State &Current,
                       const roster::Member &Target, roster::Orders &Orders) {
-  if (isClosed(Current, Target))
+  if (acceptsNoRuns(Current, Target))
     return;
   for (const TaskKey &Key : assignedTo(Current, Target.m_LastReport.m_Target)) {
     const workflow::Workflow &Workflow = *findWorkflow(Current, Key.m_Workflow);
--- a/packages/control/polling.cpp
+++ b/packages/control/polling.cpp
@@ -116,6 +116,7 @@
   for (const TaskKey &Key : assignedTo(Current, Last.m_Target)) {
     std::uint32_t Run = findTask(Current, Key)->m_Run;
     bool MustStop = isAssignedRun(Current, Key, Run, Target.instance()) &&
+                    shouldRun(Out.m_Polling, Current, Key, Run) &&
                     !isEndProposed(Out.m_Polling, Key, Run);
     if (MustStop)
       withdraw(Out, Key, Run, WithdrawalCause::Departing);
@@ -248,13 +249,13 @@
 static void withdrawUnstartedRuns(PollingStep &Out, const State &Current,
                                   const PollingOptions &Options,
                                   core::Time Now) {
-  if (Current.m_Tables.m_Evacuations.empty() ||
+  if (!Current.m_Tables.m_Evacuations.hasEvacuatedDomain() ||
       Now - Out.m_Polling.m_LastWithdrawAt < Options.m_WithdrawInterval)
     return;
   Out.m_Polling.m_LastWithdrawAt = Now;
   for (const auto &[Id, Tasks] : Current.m_Indexes.m_Assigned) {
     const roster::Member *Known = Out.m_Polling.m_Roster.find(Id);
-    bool IsEvacuated = Known && Current.m_Tables.m_Evacuations.contains(
+    bool IsEvacuated = Known && Current.m_Tables.m_Evacuations.isEvacuated(
                                     Known->m_LastReport.m_FailureDomain);
     if (!IsEvacuated)
       continue;
@@ -314,6 +315,36 @@
   return Out;
 }
 
+// ---- Failure domains --------------------------------------------------------
+
+static bool isKnown(const PollingState &Polling, const State &Current,
+                    const std::string &FailureDomain) {
+  const Tables &Stored = Current.m_Tables;
+  const auto &Reporting = Polling.m_Roster.members();
+  return Stored.m_Evacuations.revisionOf(FailureDomain) != 0 ||
+         std::any_of(Stored.m_Targets.begin(), Stored.m_Targets.end(),
+                     [&](const auto &Each) {
+                       return Each.second.announcement().m_FailureDomain ==
+                              FailureDomain;
+                     }) ||
+         std::any_of(Reporting.begin(), Reporting.end(), [&](const auto &Each) {
+           return Each.second.m_LastReport.m_FailureDomain == FailureDomain;
+         });
+}
+
+core::Reason checkFailureDomain(const PollingState &Polling,
+                                const State &Current,
+                                const std::string &FailureDomain,
+                                const PollingOptions &Options, core::Time Now) {
+  if (isKnown(Polling, Current, FailureDomain))
+    return {};
+  if (Now - Polling.m_LeaderSince < Options.m_FleetKnownAfter)
+    return {core::ReasonCode::Unavailable, "failure_domain",
+            "the targets have not reported to this leader yet"};
+  return {core::ReasonCode::NotFound, "failure_domain",
+          "no target of this failure domain is known"};
+}
+
 const char *toString(WithdrawalCause Value) noexcept {
   switch (Value) {
   case WithdrawalCause::Evacuated:
--- a/packages/control/polling.h
+++ b/packages/control/polling.h
@@ -170,6 +170,18 @@
                                const PollingOptions &Options, bool MayPass,
                                core::Time Now);
 
+// ---- Failure domains --------------------------------------------------------
+
+// Why the leader knows no such failure domain: no target there has announced
+// itself or reported, and no evacuation of it is recorded. NotFound, or
+// Unavailable while the targets have not reported to this leader yet; code None
+// when it knows the domain.
+[[nodiscard]] core::Reason checkFailureDomain(const PollingState &Polling,
+                                              const State &Current,
+                                              const std::string &FailureDomain,
+                                              const PollingOptions &Options,
+                                              core::Time Now);
+
 // ---- Responses --------------------------------------------------------------
 
 // The response to a target's newest report, as of now.
--- a/packages/control/runs.cpp
+++ b/packages/control/runs.cpp
@@ -63,17 +63,17 @@
   return Options.m_StopWithin + Options.m_StopTransit;
 }
 
-bool isClosed(const State &Current, const roster::Member &Target) {
+bool acceptsNoRuns(const State &Current, const roster::Member &Target) {
   const roster::Report &Last = Target.m_LastReport;
   return Last.m_Draining ||
-         Current.m_Tables.m_Evacuations.contains(Last.m_FailureDomain);
+         Current.m_Tables.m_Evacuations.isEvacuated(Last.m_FailureDomain);
 }
 
 bool isUnreportedAndStopped(const PollingState &Polling, const State &Current,
                             const roster::Member &Target, const TaskKey &Key,
                             const workflow::Task &Value) {
   bool ShouldRun = shouldRun(Polling, Current, Key, Value.m_Run) &&
-                   !isClosed(Current, Target);
+                   !acceptsNoRuns(Current, Target);
   return !ShouldRun && isUnreported(Current, Target, Key, Value.m_Run);
 }
 
--- a/packages/control/runs.h
+++ b/packages/control/runs.h
@@ -48,7 +48,8 @@
 
 // True when no new run may start on the target: it is draining, or its failure
 // domain is evacuated.
-[[nodiscard]] bool isClosed(const State &Current, const roster::Member &Target);
+[[nodiscard]] bool acceptsNoRuns(const State &Current,
+                                 const roster::Member &Target);
 
 // True when the run is assigned to this target instance and missing from the
 // newest report, and should not run there, for example because the target is
--- a/packages/control/state.cpp
+++ b/packages/control/state.cpp
@@ -374,14 +374,15 @@
   auto Next = evacuation::applyChange(Known, Value.m_Change, W.now());
   if (!Next)
     return Next.reason();
-  if (*Next == Known)
-    return {};
+  const std::string &Domain = Value.m_Change.m_FailureDomain;
+  bool Changes = Next->isEvacuated(Domain) != Known.isEvacuated(Domain);
   Known = *std::move(Next);
+  if (!Changes)
+    return {};
   W.indexes().m_Fleet = std::move(W.indexes().m_Fleet).withEvacuations(Known);
   W.m_Result.m_FleetChanged = true;
   W.m_Result.m_EvacuationChanges.push_back(
-      {.m_FailureDomain = Value.m_Change.m_FailureDomain,
-       .m_Evacuated = Value.m_Change.m_Evacuated});
+      {.m_FailureDomain = Domain, .m_Evacuated = Value.m_Change.m_Evacuated});
   return {};
 }
 
--- a/packages/control/view.cpp
+++ b/packages/control/view.cpp
@@ -206,14 +206,14 @@
   }
 }
 
-// The least weight of lost work: of two works without value, that which loses
-// less is preempted.
+// Lower bound of the weight, so that among runs whose results are worthless the
+// one that loses less work is preempted.
 static constexpr double MinValue = 0.05;
 
-// Weighs each allocation by the value that its workflow's result will have if
+// Weights each allocation by the value that its workflow's result will have if
 // nothing of it is preempted.
-static void weighAllocations(const State &Current, core::Time Now,
-                             std::vector<assignment::TargetInfo> &Targets) {
+static void weightAllocations(const State &Current, core::Time Now,
+                              std::vector<assignment::TargetInfo> &Targets) {
   std::map<core::RequestId, double> Values;
   for (assignment::TargetInfo &Target : Targets)
     for (assignment::TaskAllocation &Each : Target.m_Allocations) {
@@ -224,7 +224,7 @@
             assignment::resultValue(Owner, Now + remaining(Owner, Now)),
             MinValue);
       }
-      Each.m_Value = Known->second;
+      Each.m_ResultValue = Known->second;
     }
 }
 
@@ -239,11 +239,11 @@
     return Out;
   for (const auto &[Id, Each] : Polling.m_Roster.members())
     if (Polling.m_Roster.isSchedulable(Each, Options.m_Roster, Now) &&
-        !isClosed(Current, Each))
+        !acceptsNoRuns(Current, Each))
       Out.m_Targets.push_back(
           targetInfoOf(Polling, Current, Each, Reserved, Options, Now));
-  if (Options.m_Pass.m_WeighLostWork)
-    weighAllocations(Current, Now, Out.m_Targets);
+  if (Options.m_Pass.m_WeightLossByValue)
+    weightAllocations(Current, Now, Out.m_Targets);
   return Out;
 }
 
--- a/packages/evacuation/evacuation.cpp
+++ b/packages/evacuation/evacuation.cpp
@@ -16,8 +16,8 @@
   return Evacuations(std::move(Fields));
 }
 
-bool Evacuations::contains(const std::string &FailureDomain) const {
-  if (empty())
+bool Evacuations::isEvacuated(const std::string &FailureDomain) const {
+  if (!hasEvacuatedDomain())
     return false;
   auto Found = m_Fields.m_Domains.find(FailureDomain);
   return Found != m_Fields.m_Domains.end() && Found->second.m_Evacuated;
@@ -50,18 +50,23 @@
   if (!core::isValidId(Domain))
     return core::Reason{core::ReasonCode::InvalidInput, "failure_domain",
                         "must be a valid identifier"};
-  if (Current.contains(Domain) == Value.m_Evacuated)
-    return Current;
-  if (Current.revisionOf(Domain) != Value.m_ReplacesRevision)
+  bool IsInForce = Current.isEvacuated(Domain) == Value.m_Evacuated;
+  if (Current.revisionOf(Domain) != Value.m_ReplacesRevision) {
+    if (IsInForce)
+      return Current;
     return core::Reason{core::ReasonCode::Conflict, "failure_domain",
                         "was changed by a later request"};
+  }
   EvacuationFields Next = Current.fields();
-  if (!Next.m_Domains.contains(Domain) && !makeRoom(Next.m_Domains))
+  bool HasRecord = Next.m_Domains.contains(Domain);
+  if (!HasRecord && !makeRoom(Next.m_Domains))
     return core::Reason{core::ReasonCode::TooLarge, "failure_domain",
                         "too many failure domains are evacuated"};
-  Next.m_Domains[Domain] = {.m_Evacuated = Value.m_Evacuated,
-                            .m_ChangedAt = Now,
-                            .m_Revision = ++Next.m_LastRevision};
+  DomainRecord &Record = Next.m_Domains[Domain];
+  if (!HasRecord || !IsInForce)
+    Record.m_ChangedAt = Now;
+  Record.m_Evacuated = Value.m_Evacuated;
+  Record.m_Revision = ++Next.m_LastRevision;
   return Evacuations::restore(std::move(Next));
 }
 
--- a/packages/evacuation/evacuation.h
+++ b/packages/evacuation/evacuation.h
@@ -19,8 +19,10 @@
 // ended, so that a delayed request to evacuate the domain is recognized.
 struct DomainRecord {
   bool m_Evacuated = false;
+  // When the domain was last evacuated or reopened.
   core::Time m_ChangedAt;
-  // Number of the change, counted over all failure domains.
+  // Number of the last request that took effect, counted over all failure
+  // domains.
   std::uint64_t m_Revision = 0;
 
   friend bool operator==(const DomainRecord &, const DomainRecord &) = default;
@@ -57,10 +59,10 @@
   [[nodiscard]] const EvacuationFields &fields() const noexcept {
     return m_Fields;
   }
-  // True when the failure domain is evacuated now.
-  [[nodiscard]] bool contains(const std::string &FailureDomain) const;
-  // True when no failure domain is evacuated now.
-  [[nodiscard]] bool empty() const noexcept { return m_Evacuated == 0; }
+  [[nodiscard]] bool isEvacuated(const std::string &FailureDomain) const;
+  [[nodiscard]] bool hasEvacuatedDomain() const noexcept {
+    return m_Evacuated > 0;
+  }
   // The revision of the domain's last change; zero if it has none.
   [[nodiscard]] std::uint64_t revisionOf(const std::string &Domain) const;
 
@@ -73,11 +75,12 @@
   std::size_t m_Evacuated = 0;
 };
 
-// Returns the evacuations after the change. A domain that is already in the
-// requested state stays as it is, whatever the revision. Fails with
-// InvalidInput for a name that is not a valid identifier, with Conflict when
-// the domain has changed since m_ReplacesRevision, and with TooLarge when
-// MaxDomains are evacuated.
+// Returns the evacuations after the change. A request for the state that is in
+// force gets a revision too, so that an older request for the other state is
+// refused once this one was acknowledged. One that names an outdated revision
+// is a repetition, and changes nothing. Fails with InvalidInput for a name that
+// is not a valid identifier, with Conflict when the domain has changed since
+// m_ReplacesRevision, and with TooLarge when MaxDomains are evacuated.
 [[nodiscard]] core::Outcome<Evacuations>
 applyChange(const Evacuations &Current, const Change &Value, core::Time Now);
 
--- a/packages/fireflydriftctl/main.cpp
+++ b/packages/fireflydriftctl/main.cpp
@@ -32,7 +32,7 @@
     "  configuration          print the configuration in force\n"
     "  evacuate DOMAIN        start nothing new in the failure domain; with\n"
     "                         --end, allow it again\n"
-    "  evacuations            print the evacuated failure domains\n"
+    "  evacuations            print the last change of each failure domain\n"
     "  status                 print the state of the system\n"
     "  replay FILE            replay a recorded trace, check its expectations\n"
     "  trace ID [LOG...]      print a request's timeline from logs, its cause\n"
@@ -259,6 +259,8 @@
     return sendRequest(Args, "GET", "/v1/configuration", "");
   if (Matches("evacuations", 1))
     return sendRequest(Args, "GET", "/v1/evacuations", "");
+  if (Matches("evacuate", 2) && !core::isValidId(Positional[1]))
+    return usageError("'" + Positional[1] + "' is not a valid identifier");
   if (Matches("evacuate", 2))
     return sendRequest(Args, Args.m_EndEvacuation ? "DELETE" : "PUT",
                        "/v1/evacuations/" + Positional[1], "");
--- a/packages/fireflydriftd/main.cpp
+++ b/packages/fireflydriftd/main.cpp
@@ -120,6 +120,9 @@
     std::cout << "fireflydriftd " << FIREFLYDRIFT_VERSION << "\n";
     return ExitOk;
   }
+  if (Problem.empty() && Args.m_SettingsFile.empty() &&
+      !Args.m_Overrides.empty())
+    Problem = "--set requires --settings";
   if (!Problem.empty() || HasUnexpectedArgument) {
     std::cerr << "fireflydriftd: "
               << (HasUnexpectedArgument ? std::string("unexpected argument")
@@ -200,8 +203,8 @@
 
 // Makes malloc map each large buffer by itself, so that its memory returns to
 // the system when it is freed. By default malloc raises this limit after the
-// first such buffer, and clients' buffers that were closed leave a fragmented
-// heap behind. With 128 KiB, 1,500 of them left 115 MB resident, with 32 KiB
+// first such buffer, and the freed buffers of closed connections fragment the
+// heap. With 128 KiB, 1,500 of them left 115 MB resident, with 32 KiB
 // 73 MB.
 static void returnFreedBuffers() {
   constexpr int MinMappedBytes = 32 * 1024;
--- a/packages/messages/archive.h
+++ b/packages/messages/archive.h
@@ -313,7 +313,8 @@
 }
 // Fields that were added at the end of a message are written only when they
 // have a value, and read only when the message goes on. Earlier versions thus
-// understand the message while the feature is not in use.
+// understand the message while the feature is not in use. This works only for a
+// value that is the last one of its message.
 template <class A> void save(A &Ar, const StatusView &V) {
   Ar(V.m_Leader, V.m_Term, V.m_Commit, V.m_ConfigurationVersion,
      V.m_JobsByOutcome, V.m_ActiveTargets, V.m_QuarantinedTargets,
--- a/packages/messages/codec.cpp
+++ b/packages/messages/codec.cpp
@@ -11,7 +11,9 @@
 
 namespace fireflydrift::messages {
 
-// Incremented whenever the encoding of any type changes.
+// Incremented when an earlier version could misread a value. New alternatives
+// at the end of a variant, and optional fields at the end of a message, are
+// refused by earlier versions or not written.
 static constexpr std::uint8_t FormatVersion = 2;
 // A version byte and a 64-bit checksum, before the encoded value.
 static constexpr std::size_t HeaderBytes = 1 + sizeof(std::uint64_t);
--- a/packages/placement/fleet.cpp
+++ b/packages/placement/fleet.cpp
@@ -46,7 +46,7 @@
       m_Targets.try_emplace(Value.id(), TargetUsage{.m_Target = Value}).first;
   Found->second.m_Target = Value;
   Found->second.m_Evacuated =
-      m_Evacuations.contains(Value.announcement().m_FailureDomain);
+      m_Evacuations.isEvacuated(Value.announcement().m_FailureDomain);
   return std::move(*this);
 }
 
@@ -54,7 +54,7 @@
   m_Evacuations = std::move(Value);
   for (auto &[Id, Each] : m_Targets)
     Each.m_Evacuated =
-        m_Evacuations.contains(Each.m_Target.announcement().m_FailureDomain);
+        m_Evacuations.isEvacuated(Each.m_Target.announcement().m_FailureDomain);
   return std::move(*this);
 }
 
--- a/packages/roster/roster.cpp
+++ b/packages/roster/roster.cpp
@@ -183,17 +183,17 @@
   const Member *Known = find(Value.m_Target);
   bool IsSameInstance =
       Known && Known->m_LastReport.m_Incarnation == Value.m_Incarnation;
-  bool IsNewInstance = !IsSameInstance || isFirstFromOwnHost(*Known, Value);
+  bool ReplacesMember = !IsSameInstance || isFirstFromOwnHost(*Known, Value);
   core::Time LeaseUntil = m_LeaderSince + longestLease(Options);
-  if (IsNewInstance) {
-    if (IsSameInstance) {
-      // The same runs; a lease that was granted on the earlier reports may have
-      // reached the target.
+  if (ReplacesMember) {
+    // A lease that was granted on foreign reports of the same instance may have
+    // reached the target.
+    if (IsSameInstance)
       LeaseUntil = std::max(LeaseUntil, Known->m_LeaseUntil);
+    if (IsSameInstance)
       removeMember(core::TargetId(Value.m_Target));
-    } else if (Known) {
+    else if (Known)
       replaceHolder(Value.m_Target, Value, Options, Now);
-    }
     if (const Member *Owner = ownerOf(Value.m_Address))
       replaceHolder(core::TargetId(Owner->m_LastReport.m_Target), Value,
                     Options, Now);
@@ -202,7 +202,7 @@
         {.m_Target = Value.m_Target, .m_Incarnation = Value.m_Incarnation});
   }
   Member &Current = m_Members[Value.m_Target];
-  if (IsNewInstance) {
+  if (ReplacesMember) {
     Current.m_FirstReportAt = Now;
     Current.m_LeaseUntil = LeaseUntil;
   }
--- a/packages/routing/memory_budget.cpp
+++ b/packages/routing/memory_budget.cpp
@@ -10,13 +10,14 @@
 
 const char *toString(CloseCause Cause) noexcept {
   switch (Cause) {
+  case CloseCause::Budget:
+    return "budget";
   case CloseCause::Timeout:
     return "timeout";
   case CloseCause::TooLarge:
     return "too_large";
-  default:
-    return "budget";
   }
+  return "budget";
 }
 
 std::size_t defaultMemoryBudget(std::size_t VmBytes) noexcept {
@@ -52,8 +53,10 @@
                                            core::Time Now) {
   if (Value.m_Handling)
     return std::nullopt;
-  if (Value.m_Bytes >
-      Options.m_Listeners[Value.m_Listener].m_MaxConnectionBytes)
+  // The limit is that of a request; a response may be larger.
+  if (!Value.m_Responding &&
+      Value.m_Bytes >
+          Options.m_Listeners[Value.m_Listener].m_MaxConnectionBytes)
     return CloseCause::TooLarge;
   if (Value.m_Responding && Now - Value.m_Since >= Options.m_ResponseTimeout)
     return CloseCause::Timeout;
@@ -70,13 +73,17 @@
 
 } // namespace
 
+static void add(HeldBytes &Held, const ConnectionLoad &Value,
+                const MemoryBudgetOptions &Options) {
+  Held.m_All += Value.m_Bytes;
+  Held.m_Callers += isForOperators(Value, Options) ? 0 : Value.m_Bytes;
+}
+
 static HeldBytes sum(const std::vector<ConnectionLoad> &Connections,
                      const MemoryBudgetOptions &Options) {
   HeldBytes Held;
-  for (const ConnectionLoad &Each : Connections) {
-    Held.m_All += Each.m_Bytes;
-    Held.m_Callers += isForOperators(Each, Options) ? 0 : Each.m_Bytes;
-  }
+  for (const ConnectionLoad &Each : Connections)
+    add(Held, Each, Options);
   return Held;
 }
 
@@ -126,12 +133,9 @@
                const MemoryBudgetOptions &Options,
                std::size_t Listener) noexcept {
   HeldBytes Handled;
-  for (const ConnectionLoad &Each : Connections) {
-    if (!Each.m_Handling)
-      continue;
-    Handled.m_All += Each.m_Bytes;
-    Handled.m_Callers += isForOperators(Each, Options) ? 0 : Each.m_Bytes;
-  }
+  for (const ConnectionLoad &Each : Connections)
+    if (Each.m_Handling)
+      add(Handled, Each, Options);
   return Handled.m_All < Options.m_MaxBytes &&
          (Options.m_Listeners[Listener].m_ForOperators ||
           Handled.m_Callers < callersBudget(Options));
--- a/packages/runtime/connection_memory.h
+++ b/packages/runtime/connection_memory.h
@@ -9,7 +9,8 @@
 namespace fireflydrift::runtime {
 
 // Measures what the connections of all servers hold and closes those that the
-// budget has no room for. The servers and the counters must outlive it.
+// budget has no room for. The servers must exist whenever
+// check() is called, and the counters must outlive it.
 class ConnectionMemory {
 public:
   // Options without listeners; addServer() adds them.
--- a/packages/runtime/counters.cpp
+++ b/packages/runtime/counters.cpp
@@ -68,8 +68,8 @@
       {"fireflydrift_http_buffered_peak_bytes",
        "Most bytes that HTTP connections held at once"},
       {"fireflydrift_http_closed_total",
-       "HTTP connections closed for the memory they held, by listener and "
-       "cause"},
+       "HTTP connections closed because they exceeded the memory budget or did "
+       "not read a response, by listener and cause"},
       {"fireflydrift_jobs", "Jobs by outcome"},
       {"fireflydrift_jobs_accepted_total", "Requests accepted through this VM"},
       {"fireflydrift_journal_bytes_total", "Bytes written to the data folder"},
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -59,7 +59,8 @@
 
 static core::Reason undecided() {
   return {core::ReasonCode::Undecided, "",
-          "no leader decided the request in time; retry with the same id"};
+          "no leader decided the request in time; it may still take effect. "
+          "Send it again, under the same id if it has one"};
 }
 
 // True for operations that create work. To their caller, a rejection means that
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -18,18 +18,19 @@
 
 namespace {
 
-// An open connection, which h2o owns.
+// State of an open connection. h2o owns the socket; the entry is removed when
+// it closes.
 struct Connection {
   void *m_Server = nullptr;
   h2o_socket_t *m_Socket = nullptr;
   std::uint64_t m_Id = 0;
   core::Time m_Since;
-  // A copy of the body of the request that is being handled.
+  // Size of the copied body of the request that is being handled.
   std::size_t m_BodyBytes = 0;
   std::size_t m_ResponseBytes = 0;
   // Largest capacity of its input buffer so far.
   std::size_t m_LargestInput = 0;
-  // Bytes that the client had acknowledged at m_Since.
+  // Bytes that the client had acknowledged when its progress was last checked.
   std::uint64_t m_AcknowledgedBytes = 0;
   bool m_Handling = false;
   bool m_Responding = false;
--- a/packages/runtime/leader_driver.cpp
+++ b/packages/runtime/leader_driver.cpp
@@ -92,19 +92,15 @@
 }
 
 core::Reason LeaderDriver::checkDomain(const control::Operation &Value,
-                                       const control::State &State) const {
+                                       const control::State &State,
+                                       core::Time Now) const {
   const auto *Typed = std::get_if<control::ChangeEvacuation>(&Value);
-  if (!Typed || Typed->m_AllowUnknown)
-    return {};
-  const std::string &Domain = Typed->m_Change.m_FailureDomain;
   // An invalid name is refused by the aggregate, with its own reason.
-  bool IsKnown = !core::isValidId(Domain) ||
-                 control::hasTargetsIn(State, Domain) ||
-                 m_Polling.hasTargetsIn(Domain);
-  if (IsKnown)
-    return {};
-  return {core::ReasonCode::NotFound, "failure_domain",
-          "no target of this failure domain is known"};
+  bool NeedsCheck = Typed && !Typed->m_AllowUnknown &&
+                    core::isValidId(Typed->m_Change.m_FailureDomain);
+  return NeedsCheck ? m_Polling.checkFailureDomain(
+                          Typed->m_Change.m_FailureDomain, State, Now)
+                    : core::Reason();
 }
 
 void LeaderDriver::decide(const Origin &From, const control::Operation &Value,
@@ -114,7 +110,7 @@
   m_Counters.add("fireflydrift_operations_total");
   if (waitForOutcome(From, Value, State, Now))
     return;
-  core::Reason Unknown = checkDomain(Value, State);
+  core::Reason Unknown = checkDomain(Value, State, Now);
   if (Unknown.m_Code != core::ReasonCode::None)
     return m_Callbacks.m_Reply(
         From, control::Failure{.m_Reason = std::move(Unknown)});
--- a/packages/runtime/leader_driver.h
+++ b/packages/runtime/leader_driver.h
@@ -106,7 +106,8 @@
   // Why the operation concerns no failure domain that this leader knows; code
   // None when it does, or concerns none at all.
   [[nodiscard]] core::Reason checkDomain(const control::Operation &Value,
-                                         const control::State &State) const;
+                                         const control::State &State,
+                                         core::Time Now) const;
   void answerFetches(const control::ApplyResult &Result,
                      const control::State &State);
   void expireFetches(const control::State &State, core::Time Now);
--- a/packages/runtime/polling_driver.cpp
+++ b/packages/runtime/polling_driver.cpp
@@ -11,13 +11,11 @@
     : m_Options(Options), m_Counters(Metrics),
       m_Callbacks(std::move(Callbacks)) {}
 
-bool PollingDriver::hasTargetsIn(const std::string &FailureDomain) const {
-  if (!m_Polling)
-    return false;
-  const auto &Members = m_Polling->m_Roster.members();
-  return std::any_of(Members.begin(), Members.end(), [&](const auto &Each) {
-    return Each.second.m_LastReport.m_FailureDomain == FailureDomain;
-  });
+core::Reason PollingDriver::checkFailureDomain(const std::string &FailureDomain,
+                                               const control::State &State,
+                                               core::Time Now) const {
+  return control::checkFailureDomain(*m_Polling, State, FailureDomain,
+                                     m_Options, Now);
 }
 
 core::Duration PollingDriver::timeUntilDue(core::Time Now,
--- a/packages/runtime/polling_driver.h
+++ b/packages/runtime/polling_driver.h
@@ -30,8 +30,10 @@
   [[nodiscard]] bool isLeading() const noexcept {
     return m_Polling.has_value();
   }
-  // True when a target of the failure domain has reported to this leader.
-  [[nodiscard]] bool hasTargetsIn(const std::string &FailureDomain) const;
+  // As control::checkFailureDomain; must be leading.
+  [[nodiscard]] core::Reason
+  checkFailureDomain(const std::string &FailureDomain,
+                     const control::State &State, core::Time Now) const;
   // Time until work is due, at least 1 ms and at most MaxWait.
   [[nodiscard]] core::Duration timeUntilDue(core::Time Now,
                                             core::Duration MaxWait) const;
--- a/packages/runtime/settings.cpp
+++ b/packages/runtime/settings.cpp
@@ -52,6 +52,8 @@
   };
 }
 
+static constexpr std::int64_t DaySeconds = 86400;
+
 // A duration in seconds, which may have a fraction.
 static ValueSetter seconds(core::Duration &(*Member)(Settings &),
                            std::int64_t MaxSeconds) {
@@ -261,11 +263,11 @@
        duration(PART(m_Leader.m_Polling.m_Roster.m_Lease), 100, MinuteMs)},
       {{"targets", "checkpoint_interval_s",
         "Seconds of work between two checkpoints of a task that writes them"},
-       seconds(PART(m_Leader.m_Polling.m_CheckpointInterval), 3600)},
+       seconds(PART(m_Leader.m_Polling.m_CheckpointInterval), DaySeconds)},
       {{"targets", "stop_within_ms",
         "Longest time that a target which fetches its orders takes to stop a "
         "run"},
-       duration(PART(m_Leader.m_Polling.m_StopWithin), 0, MinuteMs)},
+       duration(PART(m_Leader.m_Polling.m_StopWithin), 0, 10 * MinuteMs)},
       {{"targets", "orders",
         "How targets that report get their orders: heartbeat, in the answers"},
        [](Settings &, const std::string &Text) {
@@ -285,7 +287,7 @@
          assignment::PassOptions &Pass = Values.m_Leader.m_Polling.m_Pass;
          Pass.m_Order =
              ByCost ? assignment::orderByDelayCost : assignment::orderByUrgency;
-         Pass.m_WeighLostWork = ByCost;
+         Pass.m_WeightLossByValue = ByCost;
          return std::string();
        }},
       {{"security", "operator_token_file",
@@ -535,6 +537,13 @@
                "exceeds the number of failure domains of the replicas");
 }
 
+// True for the keys of the table; the VMs in [vms] can't be overridden.
+static bool isKnownKey(const std::string &Section, const std::string &Key) {
+  return std::any_of(keys().begin(), keys().end(), [&](const SettingKey &Each) {
+    return Section == Each.m_Info.m_Section && Key == Each.m_Info.m_Key;
+  });
+}
+
 // Applies "section.key=value". An override without a value leaves the key as it
 // is: an environment may not know the value.
 static void applyOverride(ParseState &State, const std::string &Override) {
@@ -542,12 +551,14 @@
   std::size_t Dot = Override.find('.');
   if (Equals == std::string::npos || Dot > Equals)
     return State.failOverride(Override, "must be section.key=value");
+  std::string Section = Override.substr(0, Dot);
+  std::string Key = Override.substr(Dot + 1, Equals - Dot - 1);
   std::string Value = Override.substr(Equals + 1);
+  if (!isKnownKey(Section, Key))
+    return State.failOverride(Override, "is not a known key");
   if (Value.empty())
     return;
-  std::string Key = Override.substr(Dot + 1, Equals - Dot - 1);
-  std::string Violation =
-      applyKey(Override.substr(0, Dot), Key, Value, State.m_Settings);
+  std::string Violation = applyKey(Section, Key, Value, State.m_Settings);
   if (!Violation.empty())
     State.failOverride(Override, Violation);
 }
--- a/tests/control/evacuation_test.cpp
+++ b/tests/control/evacuation_test.cpp
@@ -269,6 +269,19 @@
   EXPECT_TRUE(std::get<AbortAttempt>(Next.m_Commands.front()).m_MayHaveRun);
 }
 
+// A new leader repeats the start calls of jobs that run already; it must not
+// stop them instead.
+TEST(ControlEvacuation, ANewLeaderStopsNoRunningJob) {
+  State Current =
+      with(withCalledTargets(), {placeOn("east"), StartJob{Called, 1}}, at(1));
+  Current = with(std::move(Current), {evacuate({}, "east")}, at(2));
+  DispatchStep Next =
+      sendDueCalls(rebuildDispatcher(Current, at(3)), Current, {}, at(3));
+  EXPECT_TRUE(Next.m_Commands.empty());
+  ASSERT_EQ(Next.m_Calls.size(), 1U);
+  EXPECT_EQ(Next.m_Calls.front().m_Verb, Verb::Start);
+}
+
 TEST(ControlEvacuation, GuaranteesCountNoCapacityThere) {
   State Current = withCalledTargets();
   const auto &Configuration = Current.m_Tables.m_Configuration;
--- a/tests/routing/memory_budget_test.cpp
+++ b/tests/routing/memory_budget_test.cpp
@@ -84,6 +84,16 @@
       (std::vector<ClosedConnection>{{1, Callers, CloseCause::TooLarge}}));
 }
 
+// The maximum is that of a request; a caller must get its whole response.
+TEST(MemoryBudget, LetsALargeResponsePass) {
+  std::vector<ConnectionLoad> Loads{{.m_Id = 1,
+                                     .m_Listener = Callers,
+                                     .m_Bytes = 700,
+                                     .m_Since = at(1000),
+                                     .m_Responding = true}};
+  EXPECT_TRUE(connectionsToClose(Loads, options(), at(1050)).empty());
+}
+
 TEST(MemoryBudget, ClosesAClientThatReadsNoResponse) {
   std::vector<ConnectionLoad> Loads{
       {.m_Id = 1,
