--- a/tests/control/polling_test.cpp
+++ b/tests/control/polling_test.cpp
@@ -182,7 +182,7 @@
                            .m_Workflow = core::RequestId("w"),
                            .m_Assign = {.m_Run = 1,
                                         .m_Placements = {{.m_Instance =
-                                                              Instance}}}}}})
+                                                              m_Instance}}}}}})
                     .m_State) {
     m_Options.m_StopWithin = Before - m_Options.m_StopTransit;
     for (int I = 0; I < 2; ++I)
@@ -190,33 +190,33 @@
   }
 
   PollingStep report(std::optional<core::Duration> Remaining,
-                     std::vector<roster::EndedTask> Ended = {}) {
+                     const std::vector<roster::EndedTask> &Ended = {}) {
     PollingStep Next = handleReport(
         std::move(m_Polling), m_State,
-        {.m_Target = Instance.m_Target,
+        {.m_Target = m_Instance.m_Target,
          .m_Incarnation = 1,
          .m_Sequence = ++m_Sequence,
          .m_Draining = true,
          .m_Remaining = Remaining,
-         .m_Running = Ended.empty() ? std::vector{Running}
+         .m_Running = Ended.empty() ? std::vector{m_Running}
                                     : std::vector<roster::RunningTask>(),
          .m_Ended = Ended},
         m_Options, at(10));
     m_Polling = Next.m_Polling;
     m_Orders =
         ordersFor(m_Polling, m_State,
-                  *m_Polling.m_Roster.find(Instance.m_Target), m_Options, 1)
+                  *m_Polling.m_Roster.find(m_Instance.m_Target), m_Options, 1)
             .m_Orders;
     m_Polling =
-        recordOrdersSent(std::move(m_Polling), m_State, Instance.m_Target,
+        recordOrdersSent(std::move(m_Polling), m_State, m_Instance.m_Target,
                          m_Orders, m_Options, at(10), at(10));
     return Next;
   }
 
-  const workflow::TargetInstance Instance{.m_Target = core::TargetId("t"),
-                                          .m_Incarnation = 1};
-  const roster::RunningTask Running{.m_Task = {core::RequestId("w"), 0, 0},
-                                    .m_Run = 1};
+  const workflow::TargetInstance m_Instance{.m_Target = core::TargetId("t"),
+                                            .m_Incarnation = 1};
+  const roster::RunningTask m_Running{.m_Task = {core::RequestId("w"), 0, 0},
+                                      .m_Run = 1};
   PollingOptions m_Options;
   State m_State;
   PollingState m_Polling = beginPolling(at(0));
@@ -251,7 +251,7 @@
   Departing Target;
   PollingStep Next =
       Target.report(Target.Before, {{.m_Number = 1,
-                                     .m_Task = Target.Running.m_Task,
+                                     .m_Task = Target.m_Running.m_Task,
                                      .m_Run = 1,
                                      .m_Cause = roster::EndCause::Done}});
   EXPECT_EQ(Next.m_Commands.size(), 1U);
