--- a/tests/system/untrusted_clients_test.cpp
+++ b/tests/system/untrusted_clients_test.cpp
@@ -28,8 +28,8 @@
 
 constexpr std::size_t KiB = 1024;
 constexpr std::size_t MiB = KiB * KiB;
-// Room for the default budget, and for memory that does not count into it: h2o's
-// connections, their TLS state and free heap.
+// Room for the default budget, and for memory that does not count into it:
+// h2o's connections, their TLS state and free heap.
 constexpr std::size_t MaxGrowth = 96 * MiB;
 constexpr std::size_t MaxOtherDescriptors = 64;
 // Four times the default, so that a few dozen clients show the fault.
