--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,7 +3,10 @@
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/fireflydriftd ] && [ -x target/review-2/case-8 ] || exit 2
-RECORD="review/8/record.txt" timeout 118 target/review-2/case-8
+WORK=$(mktemp -d) || exit 2
+trap 'rm -rf "$WORK"' EXIT
+export WORK RECORD="review/8/record.txt"
+timeout 118 target/review-2/case-8
 RESULT=$?
 [ $RESULT -le 1 ] || RESULT=2
 exit $RESULT
--- a/review/stand-ins-2/rig.cpp
+++ b/review/stand-ins-2/rig.cpp
@@ -13,6 +13,7 @@
 #include <poll.h>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -224,8 +225,10 @@
       for (int Port : {0, 1, 21, 23, 26})
         Free = Free && isFree(ip(Last), m_Base + Port);
   }
+  // Made and removed by run.sh.
+  const char *Folder = std::getenv("WORK");
   char Template[] = "/tmp/review-2-XXXXXX";
-  m_Folder = mkdtemp(Template);
+  m_Folder = Folder ? Folder : mkdtemp(Template);
   const char *Zones[] = {"sapporo-a", "asahikawa-a", "obihiro-a", "sapporo-a",
                          "asahikawa-a"};
   for (int I = 0; I < 5; ++I)
@@ -242,8 +245,6 @@
       kill(Each.m_Pid, SIGKILL);
       waitpid(Each.m_Pid, nullptr, 0);
     }
-  if (!std::getenv("KEEP"))
-    std::system(("rm -rf " + m_Folder).c_str());
 }
 
 std::string System::render(const Process &Value, bool Bootstrap) const {
@@ -296,6 +297,8 @@
   std::string Log = m_Folder + "/" + Value.m_Name + ".log";
   int Pid = fork();
   if (Pid == 0) {
+    // Ends with the stand-in, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int File = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(File, 1);
     dup2(File, 2);
@@ -621,6 +624,7 @@
 }
 
 void Worker::advance() {
+  m_RunningCount = static_cast<int>(m_Running.size());
   double Now = nowMs();
   std::vector<std::pair<std::string, std::string>> Over;
   for (const auto &[Task, Each] : m_Running) {
--- a/review/stand-ins-2/rig.h
+++ b/review/stand-ins-2/rig.h
@@ -224,6 +224,7 @@
   // Ends at once, without a word.
   void crash();
   int refusedAnswers() const { return m_TooLong; }
+  bool isEmpty() const { return m_RunningCount == 0; }
 
 private:
   struct Running {
@@ -245,6 +246,7 @@
   std::thread m_Thread;
   std::atomic<bool> m_Stop{false};
   std::atomic<int> m_TooLong{0};
+  std::atomic<int> m_RunningCount{0};
   std::int64_t m_Born = 0;
   std::uint64_t m_Sequence = 0;
   std::uint64_t m_Number = 0;
--- a/review/stand-ins-2/setup.h
+++ b/review/stand-ins-2/setup.h
@@ -2,6 +2,8 @@
 #pragma once
 #include "rig.h"
 
+#include <cstdlib>
+#include <filesystem>
 #include <iostream>
 
 namespace rig {
@@ -71,6 +73,19 @@
   std::vector<std::unique_ptr<Worker>> m_Workers;
 };
 
+// The newest snapshot in a replica's data folder; used only to time disruptions.
+inline long newestSnapshot(const System &Of, const Process &Value) {
+  long Newest = 0;
+  std::error_code Ignored;
+  for (const auto &Each : std::filesystem::directory_iterator(
+           Of.m_Folder + "/data-" + Value.m_Name, Ignored)) {
+    std::string Name = Each.path().filename().string();
+    if (Name.starts_with("snapshot-") && !Name.ends_with(".new"))
+      Newest = std::max(Newest, std::atol(Name.c_str() + 9));
+  }
+  return Newest;
+}
+
 inline int verdict(bool Broken, const std::string &Why) {
   note((Broken ? "BROKEN: " : "held: ") + Why);
   std::cout << (Broken ? "BROKEN: " : "held: ") << Why << std::endl;
