--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,53 +1,38 @@
-// Many urgent jobs that can't be done: do other jobs still start?
+// Is a tenant's guarantee kept for a step with antiAffinity?
 #include "setup.h"
 
 using namespace rig;
 
 int main() {
   Deployment All;
-  if (!All.begin(3, 0))
+  if (!All.begin(3, 8))
     return cannotRun("the deployment did not come up");
-  Consumer Other = All.consumer(2, "kaje80");
-  Json Single{{"spec", "one"},
-              {"steps", {{{"count", 1}, {"cpu", 5600}, {"memoryLimitMb", 16000}, {"gpu", 1}, {"estimatedMs", 2000}}}}};
-  auto plain = [&](int Number, const Route &To) {
-    All.m_Needs.add(jobId(Number), Single, {2000});
-    return Other.submit(To, jobId(Number), Single) == 200;
-  };
-  if (!plain(2, Normal) || !All.await(Other, Normal, jobId(2), "completed", 15000))
-    return cannotRun("a plain job did not complete before the disruption");
-
-  // Urgent jobs that need a label that no worker has.
-  Json Hopeless{{"spec", "never"},
-                {"steps", {{{"count", 3}, {"cpu", 7500}, {"memoryLimitMb", 39000}, {"gpu", 1}, {"estimatedMs", 2100}, {"requirements", "z"}}}}};
-  constexpr int Count = 420;
-  int Accepted = 0;
-  for (int I = 0; trouble() && I < Count; ++I) {
-    All.m_Needs.add(jobId(1000 + I), Hopeless, {2100});
-    Accepted += Other.submit(Urgent, jobId(1000 + I), Hopeless, true) == 200;
+  Consumer Others = All.consumer(1, "lome41");
+  Consumer Owner = All.consumer(2, "kaje80"); // guaranteedGpus 8
+  // Another tenant uses 16 of 24 GPUs: two workers are full, one is empty.
+  Json Fill{{"spec", "fill"},
+            {"steps", {{{"count", 16}, {"cpu", 5600}, {"memoryLimitMb", 16000}, {"gpu", 1}, {"estimatedMs", 90000}}}}};
+  All.m_Needs.add(jobId(1), Fill, {90000});
+  if (Others.submit(Bulk, jobId(1), Fill) != 200)
+    return cannotRun("the other tenant's job was not accepted");
+  double Until = nowMs() + 8000;
+  while (All.m_Runs.atWork(jobId(1)) < 16 && nowMs() < Until)
     sleepMs(100);
-  }
-  note("accepted " + std::to_string(Accepted) + " urgent jobs that can't be done");
-  for (int I = 10; I < 16; ++I)
-    if (!plain(I, I % 2 ? Normal : Bulk))
-      return cannotRun("a small job was not accepted");
-  double LastTraffic = nowMs();
-  note("end of the traffic");
-  sleepMs(14000); // finish_s
-  int Waiting = 0;
-  double From = nowMs();
-  while (nowMs() - From < 12000) { // 3 s are asked for
-    Waiting = 0;
-    for (int I = 10; I < 16; ++I)
-      Waiting += All.m_Runs.begun(jobId(I)) == 0;
-    if (Waiting == 0)
-      break;
-    sleepMs(250);
-  }
-  for (int I = 10; I < 16; ++I)
-    (void)Other.state(I % 2 ? Normal : Bulk, jobId(I));
-  return verdict(Waiting > 0,
-                 std::to_string(Waiting) + " of 6 accepted small jobs have not begun " +
-                     std::to_string(static_cast<int>(nowMs() - LastTraffic) / 1000) +
-                     " s after the traffic ended; all 24 GPUs are free");
+  if (All.m_Runs.atWork(jobId(1)) < 16)
+    return cannotRun("the other tenant's job did not start");
+  sleepMs(6000);
+  Json Job{{"spec", "urgent"},
+           {"steps", {{{"count", 2}, {"cpu", 7500}, {"memoryLimitMb", 39000}, {"gpu", 4}, {"estimatedMs", 30000}}}}};
+  if (trouble())
+    Job["steps"][0]["antiAffinity"] = 1;
+  All.m_Needs.add(jobId(3), Job, {30000});
+  if (Owner.submit(Urgent, jobId(3), Job) != 200)
+    return cannotRun("the urgent job was not accepted");
+  double Acked = nowMs();
+  while (nowMs() - Acked < 30000 && All.m_Runs.begun(jobId(3)) < 2)
+    sleepMs(20);
+  int Begun = All.m_Runs.begun(jobId(3));
+  double Took = nowMs() - Acked;
+  (void)Owner.state(Urgent, jobId(3));
+  return verdict(Begun < 2 || Took > 5700, "job of priority 0, 8 GPUs of 8 guaranteed: " + std::to_string(Begun) + " of 2 subtasks had begun after " + std::to_string(static_cast<int>(Took)) + " ms (reclaimMs 5700)");
 }
