--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -9,22 +9,22 @@
     return cannotRun("the deployment did not come up");
   Consumer Others = All.consumer(1, "lome41");
   Consumer Owner = All.consumer(2, "kaje80"); // guaranteedGpus 8
-  // Another tenant's plain jobs: one subtask with one GPU each, 4 to 12 s. They
-  // ask for the rack of one of two workers, and keep both full all the while;
-  // the third worker is empty.
-  constexpr int Jobs = 240;
+  // Two plain jobs of another tenant: 94 subtasks with one GPU each, 4 to 12 s.
+  // Each asks for the rack of one of two workers, and keeps it full all the
+  // while; the third worker is empty.
+  constexpr int Jobs = 2;
+  const char *Racks[] = {"r0-1", "r1-1"};
   for (int I = 0; I < Jobs; ++I) {
-    int Work = 4000 + (I * 1700) % 8000;
     Json Fill{{"spec", "fill"},
               {"steps",
-               {{{"count", 1},
+               {{{"count", 94},
                  {"cpu", 5600},
                  {"memoryLimitMb", 16000},
                  {"gpu", 1},
-                 {"estimatedMs", Work},
-                 {"requirements", I % 2 ? "r0-1" : "r1-1"}}}}};
-    All.m_Needs.add(jobId(100 + I), Fill, {static_cast<double>(Work)});
-    if (Others.submit(Bulk, jobId(100 + I), Fill, true) != 200)
+                 {"estimatedMs", 8000},
+                 {"requirements", Racks[I]}}}}};
+    All.m_Needs.add(jobId(100 + I), Fill, {8000}, true);
+    if (Others.submit(Bulk, jobId(100 + I), Fill) != 200)
       return cannotRun("a job of the other tenant was not accepted");
   }
   auto fillAtWork = [&] {
