--- a/review/harness-3/harness.cpp
+++ b/review/harness-3/harness.cpp
@@ -766,6 +766,21 @@
   record("worker " + Id + " lost power");
 }
 
+static std::string jobIdOf(const std::string &Task) {
+  return Task.substr(0, Task.find('.'));
+}
+
+void Fleet::failOne(const std::string &Job) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  for (auto &Each : m_Workers)
+    for (auto &[Name, Run] : Each->m_Runs)
+      if (jobIdOf(Name) == Job) {
+        end(*Each, std::string(Name), "failed");
+        m_Changed.notify_all();
+        return;
+      }
+}
+
 bool Fleet::hasReported(const std::string &Id) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   return std::any_of(m_Workers.begin(), m_Workers.end(), [&](const auto &Each) {
@@ -773,10 +788,6 @@
   });
 }
 
-static std::string jobIdOf(const std::string &Task) {
-  return Task.substr(0, Task.find('.'));
-}
-
 const JobOptions *Fleet::jobOf(const std::string &Task) const {
   auto Found = m_Jobs.find(jobIdOf(Task));
   return Found == m_Jobs.end() ? nullptr : &Found->second;
@@ -797,6 +808,11 @@
   return Found == m_Starts.end() ? 0 : Found->second;
 }
 
+int Fleet::lapsed() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Lapsed;
+}
+
 int Fleet::usedGpusOf(const Worker &Value, const Fleet &All) {
   int Used = 0;
   for (const auto &[Name, Run] : Value.m_Runs)
@@ -867,6 +883,7 @@
 void Fleet::end(Worker &Value, const std::string &Name, const char *How) {
   int Number = Value.m_Runs.at(Name).m_Number;
   Value.m_Runs.erase(Name);
+  m_Lapsed += std::string(How) == "lapsed";
   Value.m_Closed[Name] = std::max(Value.m_Closed[Name], Number);
   Value.m_Ended.push_back(
       Json::array({++Value.m_EndNumber, Name, Number, How, ""}));
--- a/review/harness-3/harness.h
+++ b/review/harness-3/harness.h
@@ -252,11 +252,15 @@
   void addWorker(const WorkerOptions &Value);
   // The worker loses power: nothing of it runs on, and nothing is said.
   void crash(const std::string &Id);
+  // One of the job's subtasks that are present fails.
+  void failOne(const std::string &Job);
   [[nodiscard]] bool hasReported(const std::string &Id);
   // Number of the job's subtasks that are present on workers.
   [[nodiscard]] int running(const std::string &Job);
   // Number of starts of the job's subtasks so far.
   [[nodiscard]] int starts(const std::string &Job);
+  // Number of runs so far that ended because their lease lapsed.
+  [[nodiscard]] int lapsed();
   // Of the subtask, how many more would fit now, and the share of all
   // accelerators in use, in percent.
   [[nodiscard]] int fits(const StepOptions &Step);
@@ -308,6 +312,7 @@
   std::thread m_Ticker;
   bool m_Stop = false;
   bool m_Quiet = false;
+  int m_Lapsed = 0;
 };
 
 } // namespace review
