--- a/packages/routing/forwarding.cpp
+++ b/packages/routing/forwarding.cpp
@@ -29,6 +29,19 @@
   return Before;
 }
 
+Forwarding unacknowledged(Forwarding Before, std::uint64_t Id,
+                          const core::VmId &To, core::Time Now) {
+  auto Found = Before.m_Pending.find(Id);
+  if (Found == Before.m_Pending.end())
+    return Before;
+  Pending &Value = Found->second;
+  if (Value.m_SentTo != To || Value.m_Tries > 1)
+    return Before;
+  Value.m_SentTo = {};
+  Value.m_NextAt = Now;
+  return Before;
+}
+
 // Returns true if the operation was last sent to another leader, which may have
 // failed.
 static bool hasNewLeader(const Pending &Value, const core::VmId &Leader) {
--- a/packages/routing/forwarding.h
+++ b/packages/routing/forwarding.h
@@ -68,6 +68,12 @@
                                              std::uint64_t Id,
                                              const RetryOptions &Options,
                                              core::Time Now);
+// Makes an operation due of which the only copy was sent to this VM over a
+// connection that broke before the VM acknowledged it. The VM may have received
+// it all the same, so the next attempt counts as a retry, but the retry budget
+// doesn't limit it. A later copy is followed by the usual retries.
+[[nodiscard]] Forwarding unacknowledged(Forwarding Before, std::uint64_t Id,
+                                        const core::VmId &To, core::Time Now);
 // Selects the operations to send or to expire at Now. Leader is empty while
 // none is known.
 [[nodiscard]] ForwardingStep dispatchDue(Forwarding Before,
--- a/packages/runtime/entry.cpp
+++ b/packages/runtime/entry.cpp
@@ -94,6 +94,14 @@
                                               m_Options.m_Retry, Now);
 }
 
+void Entry::onUnacknowledged(const core::VmId &To,
+                             const std::vector<std::uint64_t> &Ids,
+                             core::Time Now) {
+  for (std::uint64_t Id : Ids)
+    m_Forwarding =
+        routing::unacknowledged(std::move(m_Forwarding), Id, To, Now);
+}
+
 static const char *operationName(const control::Operation &Value) {
   static constexpr const char *Names[] = {
       "submit",          "fetch",   "cancel",           "explain",
--- a/packages/runtime/entry.h
+++ b/packages/runtime/entry.h
@@ -69,6 +69,10 @@
               std::optional<core::Duration> Timeout = std::nullopt);
   void complete(std::uint64_t Id, control::Reply Value, core::Time Now);
   void onNotLeader(std::uint64_t Id, core::Time Now);
+  // Sends those of the operations again that have no reply yet, because a
+  // connection to the VM broke before it had acknowledged them.
+  void onUnacknowledged(const core::VmId &To,
+                        const std::vector<std::uint64_t> &Ids, core::Time Now);
   // Records a heartbeat of a leader that holds its lease and whose
   // configuration is no newer than this VM's.
   void recordLeaderHeartbeat(core::Time Now);
--- a/packages/runtime/links.cpp
+++ b/packages/runtime/links.cpp
@@ -27,6 +27,8 @@
 struct SentFrame {
   core::Time m_QueuedAt;
   std::string m_Bytes;
+  // The id of the forwarded operation in the frame, if it holds one.
+  std::optional<std::uint64_t> m_Operation;
 };
 
 // A socket to be closed by the next maintain(), with the buffer of a write that
@@ -51,6 +53,7 @@
   core::Time m_RetryAt;
   LinkTraffic m_Traffic;
   Loop *m_Loop = nullptr;
+  const Links::Handlers *m_Handlers = nullptr;
   std::list<ClosingSocket> *m_ClosingSockets = nullptr;
 };
 
@@ -99,6 +102,7 @@
   PeerConnection &New = m_Peers[Vm];
   New.m_Address = membership::addressById(Vm, m_Options.m_DiscoveryPort);
   New.m_Loop = &m_Loop;
+  New.m_Handlers = &m_Handlers;
   New.m_ClosingSockets = &m_ClosingSockets;
   return &New;
 }
@@ -109,11 +113,27 @@
 // connection.
 static constexpr std::size_t MaxRequeuedBytes = std::size_t{256} << 10U;
 
+// Takes the forwarded operations out of the unacknowledged frames and returns
+// their ids.
+static std::vector<std::uint64_t> takeOperations(PeerConnection &Peer) {
+  std::vector<std::uint64_t> Operations;
+  std::erase_if(Peer.m_Unacknowledged, [&](const SentFrame &Each) {
+    if (Each.m_Operation)
+      Operations.push_back(*Each.m_Operation);
+    return Each.m_Operation.has_value();
+  });
+  return Operations;
+}
+
 // Queues the newest unacknowledged frames, up to MaxRequeuedBytes, again for
-// the next connection and drops the older ones. Otherwise callers whose
-// requests or replies were in lost frames would run into a timeout. Messages
-// may arrive twice.
+// the next connection and drops the older ones. Otherwise callers whose replies
+// were in lost frames would run into a timeout. These messages may arrive
+// twice. Forwarded operations are not queued again: the leader would decide a
+// second copy anew, after the caller was told of its first decision.
 static void requeueUnacknowledged(PeerConnection &Peer) {
+  std::vector<std::uint64_t> Operations = takeOperations(Peer);
+  if (!Operations.empty())
+    Peer.m_Handlers->m_OnOperationsDropped(Peer.m_Address.m_Id, Operations);
   std::size_t RequeuedBytes = 0;
   std::deque<SentFrame> Newest;
   for (auto Each = Peer.m_Unacknowledged.rbegin();
@@ -347,6 +367,7 @@
     PeerConnection &Peer = m_Impl->m_Peers[Each.m_Id];
     Peer.m_Address = std::move(Each);
     Peer.m_Loop = &EventLoop;
+    Peer.m_Handlers = &m_Impl->m_Handlers;
     Peer.m_ClosingSockets = &m_Impl->m_ClosingSockets;
   }
 }
@@ -430,6 +451,8 @@
   PeerConnection &Peer = *Found;
   std::string Encoded = messages::encode(
       messages::Envelope{.m_From = m_Impl->m_Self, .m_Body = Value});
+  if (!Peer.m_Socket)
+    openConnection(Peer, m_Impl->m_Loop.now());
   bool QueueFull =
       Peer.m_Queue.size() + Encoded.size() > m_Impl->m_Options.m_MaxQueuedBytes;
   if (QueueFull || !Peer.m_Socket) {
@@ -441,8 +464,12 @@
   std::memcpy(Frame.data(), &Length, FrameHeaderBytes);
   Frame += Encoded;
   Peer.m_Queue += Frame;
+  const auto *Operation = std::get_if<messages::ForwardOperation>(&Value);
   Peer.m_Unacknowledged.push_back(
-      {.m_QueuedAt = m_Impl->m_Loop.now(), .m_Bytes = std::move(Frame)});
+      {.m_QueuedAt = m_Impl->m_Loop.now(),
+       .m_Bytes = std::move(Frame),
+       .m_Operation =
+           Operation ? std::optional(Operation->m_Id) : std::nullopt});
   Peer.m_Traffic.m_BytesOut += FrameHeaderBytes + Length;
   ++Peer.m_Traffic.m_FramesOut;
   writeQueued(Peer);
--- a/packages/runtime/links.h
+++ b/packages/runtime/links.h
@@ -48,6 +48,8 @@
   using OnMessage = std::function<void(messages::Envelope)>;
   using OnHeartbeat = std::function<void(membership::Heartbeat)>;
   using OnRefused = std::function<void(const Refusal &)>;
+  using OnOperationsDropped = std::function<void(
+      const core::VmId &, const std::vector<std::uint64_t> &)>;
 
   // What receives the messages of other VMs; each must be set.
   struct Handlers {
@@ -56,6 +58,11 @@
     // Called for each frame or datagram that can't be decoded or comes from an
     // unknown VM.
     OnRefused m_OnRefused;
+    // Called with the ids of forwarded operations that a VM had not
+    // acknowledged when the connection to it was replaced. They may have
+    // arrived all the same. The links don't send them again: whoever forwards
+    // an operation has to know how many copies of it are under way.
+    OnOperationsDropped m_OnOperationsDropped;
   };
 
   Links(Loop &EventLoop, core::VmId Self,
@@ -72,9 +79,10 @@
   [[nodiscard]] std::map<core::VmId, LinkTraffic> traffic() const;
 
   // Queues a message. Drops it when the queue is full, or when no connection is
-  // open or being opened. A queued message may arrive twice when the connection
-  // breaks, and is lost when no new connection can be opened or too many newer
-  // messages are unacknowledged.
+  // open or can be opened. A queued message may arrive twice when the
+  // connection breaks, and is lost when no new connection can be opened or too
+  // many newer messages are unacknowledged. A forwarded operation never arrives
+  // twice.
   void send(const core::VmId &To, const messages::Body &Value);
   void sendHeartbeat(const core::VmId &To, const membership::Heartbeat &Value);
   // Closes the outgoing connections to all VMs that are not in Vms, and forgets
--- a/packages/runtime/node.cpp
+++ b/packages/runtime/node.cpp
@@ -123,7 +123,11 @@
            [this](messages::Envelope Value) { onMessage(std::move(Value)); },
        .m_OnHeartbeat =
            [this](const membership::Heartbeat &Value) { onHeartbeat(Value); },
-       .m_OnRefused = [this](const Refusal &Value) { recordRefusal(Value); }});
+       .m_OnRefused = [this](const Refusal &Value) { recordRefusal(Value); },
+       .m_OnOperationsDropped =
+           [this](const core::VmId &To, const std::vector<std::uint64_t> &Ids) {
+             m_Entry.onUnacknowledged(To, Ids, now());
+           }});
 }
 
 // ---- Observation -----------------------------------------------------------
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -93,6 +93,27 @@
   EXPECT_FALSE(wasRetried(removed(std::move(Value), Id), Id));
 }
 
+// Guards against callers that wait for a request that was lost with its
+// connection, and against callers that are told "not run" although the lost
+// copy arrived.
+TEST(Forwarding, SendsUnacknowledgedOperationsAgainAtOnce) {
+  constexpr std::uint64_t Id = 7;
+  RetryOptions Options{.m_PercentOfFirstTries = 0, .m_MaxBurst = 0};
+  Forwarding Value = added({}, Id, at(9000), at(0));
+  Value = dispatchDue(std::move(Value), A, Options, at(1)).m_Forwarding;
+  // A connection to a VM that the operation was not last sent to says nothing.
+  Value = unacknowledged(std::move(Value), Id, B, at(2));
+  EXPECT_TRUE(dispatchDue(Value, A, Options, at(2)).m_Send.empty());
+  Value = unacknowledged(std::move(Value), Id, A, at(2));
+  ForwardingStep Next = dispatchDue(std::move(Value), A, Options, at(2));
+  EXPECT_EQ(Next.m_Send, std::vector<std::uint64_t>{Id});
+  EXPECT_TRUE(wasRetried(Next.m_Forwarding, Id));
+  // A VM that breaks every connection gets no more than the usual retries.
+  Value = unacknowledged(std::move(Next.m_Forwarding), Id, A, at(3));
+  EXPECT_TRUE(dispatchDue(std::move(Value), A, Options, at(3)).m_Send.empty());
+  EXPECT_EQ(unacknowledged({}, Id, A, at(3)), Forwarding{});
+}
+
 // Guards against operations that expire after a change of leader: retries to a
 // failed leader used up the budget, and the next leader did not receive the
 // operations before their deadlines.
--- a/tests/runtime/links_test.cpp
+++ b/tests/runtime/links_test.cpp
@@ -31,7 +31,13 @@
     EXPECT_TRUE(m_Links.listen(
         {.m_OnMessage = [](const messages::Envelope &) {},
          .m_OnHeartbeat = [](const membership::Heartbeat &) {},
-         .m_OnRefused = [this](const Refusal &) { ++m_Refused; }}));
+         .m_OnRefused = [this](const Refusal &) { ++m_Refused; },
+         .m_OnOperationsDropped =
+             [this](const core::VmId &To,
+                    const std::vector<std::uint64_t> &Ids) {
+               EXPECT_EQ(To, B);
+               m_Dropped.insert(m_Dropped.end(), Ids.begin(), Ids.end());
+             }}));
   }
   ~LinksTest() override { close(m_Listener); }
 
@@ -71,14 +77,23 @@
       auto Frame = messages::decodeEnvelope(
           std::string_view(Bytes).substr(Offset, Length));
       Offset += Length;
-      if (Frame)
-        Ids.push_back(std::get<messages::NotLeader>(Frame->m_Body).m_Id);
+      if (!Frame)
+        continue;
+      const auto *Operation =
+          std::get_if<messages::ForwardOperation>(&Frame->m_Body);
+      Ids.push_back(Operation
+                        ? Operation->m_Id
+                        : std::get<messages::NotLeader>(Frame->m_Body).m_Id);
     }
     return Ids;
   }
   void send(std::uint64_t Id) {
     m_Links.send(B, messages::NotLeader{.m_Id = Id});
   }
+  void forward(std::uint64_t Id) {
+    m_Links.send(B, messages::ForwardOperation{
+                        .m_Id = Id, .m_Operation = control::ReadStatus{}});
+  }
 
   static constexpr std::uint16_t APort = 19871;
   static constexpr std::uint16_t BPort = 19872;
@@ -89,6 +104,8 @@
   int m_Listener;
   Links m_Links;
   int m_Refused = 0;
+  // The operations that were reported as dropped.
+  std::vector<std::uint64_t> m_Dropped;
 };
 
 } // namespace
@@ -120,6 +137,24 @@
   close(Second);
 }
 
+// Guards against refused jobs that run: a copy of an operation that the links
+// sent on their own was decided after the caller had been told of the refusal.
+TEST_F(LinksTest, ReportsUnacknowledgedOperationsInsteadOfResendingThem) {
+  int First = acceptOne();
+  send(1);
+  forward(2);
+  forward(3);
+  EXPECT_EQ(readIds(First), (std::vector<std::uint64_t>{1, 2, 3}));
+  // Acknowledges the first two frames.
+  ASSERT_EQ(write(First, "\x06\x06", 2), 2);
+  close(First);
+  int Second = acceptOne();
+  send(4);
+  EXPECT_EQ(readIds(Second), (std::vector<std::uint64_t>{4}));
+  EXPECT_EQ(m_Dropped, (std::vector<std::uint64_t>{3}));
+  close(Second);
+}
+
 // When a socket was closed in the loop iteration in which a write on it had
 // completed, h2o used it after freeing it (found by the fault soak, seed 83).
 TEST_F(LinksTest, ReconnectsWhileAWriteCompletes) {
